--- /dev/null
+++ b/components/edge/src/roster.rs
@@ -0,0 +1,73 @@
+//! The platform's list of worker and entry hosts. It lags behind the truth.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Call, Fault, Fetch, Fetcher};
+
+/// State of a host in the list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum HostState {
+    /// In service.
+    Live,
+    /// About to be removed; takes no new work.
+    Leaving,
+}
+
+/// One worker in the list.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostInfo {
+    /// Unique name.
+    pub name: String,
+    /// Address as `ip:port`.
+    pub addr: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Rack within the zone.
+    pub rack: String,
+    /// Tasks that it runs at once.
+    pub slots: u32,
+    /// State as last heard.
+    pub state: HostState,
+}
+
+/// Lagging list of hosts.
+pub trait Roster: Send + Sync + std::fmt::Debug {
+    /// All workers listed now.
+    fn hosts(&self) -> Call<'_, Vec<HostInfo>>;
+}
+
+/// Host list over HTTP: `GET /hosts`.
+#[derive(Debug)]
+pub struct HttpRoster {
+    addr: String,
+    timeout: Duration,
+    http: Fetcher,
+}
+
+impl HttpRoster {
+    /// A client for the list at `ip:port`.
+    #[must_use]
+    pub fn new(addr: &str, timeout: Duration) -> Self {
+        Self {
+            addr: addr.to_owned(),
+            timeout,
+            http: Fetcher::default(),
+        }
+    }
+}
+
+impl Roster for HttpRoster {
+    fn hosts(&self) -> Call<'_, Vec<HostInfo>> {
+        Box::pin(async move {
+            let done = self
+                .http
+                .fetch(Fetch::get(&self.addr, "/hosts", self.timeout))
+                .await?;
+            serde_json::from_slice(&done.body)
+                .map_err(|e| Fault::not_run(format!("host list is malformed: {e}")))
+        })
+    }
+}
--- /dev/null
+++ b/components/entry/src/admin.rs
@@ -0,0 +1,123 @@
+//! The operators' side: commands and queries, metrics, and the time line.
+//!
+//! `POST /command` takes one line of the operators' language, `GET /metrics` the metrics, `GET /events?since=`
+//! this host's part of the time line. All but the metrics need an operator's key.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use edge::{VERDICT_HEADER, Verdict};
+use lang::Statement;
+use poem::http::StatusCode;
+use poem::web::{Data, Query};
+use poem::{EndpointExt, Request, Response, Route, get, handler, post};
+use serde::Deserialize;
+use tokio::net::TcpListener;
+
+use crate::command::Answer;
+use crate::node::Node;
+use crate::serve::bearer;
+
+const COMMAND_TIME: Duration = Duration::from_secs(9);
+
+#[derive(Debug, Deserialize)]
+struct Since {
+    #[serde(default)]
+    since: u64,
+}
+
+/// Serves operators until the node stops.
+pub async fn listen(node: Arc<Node>, listener: TcpListener) {
+    let app = Route::new()
+        .at("/command", post(run_command))
+        .at("/metrics", get(get_metrics))
+        .at("/events", get(get_events))
+        .data(node);
+    let Ok(acceptor) = poem::listener::TcpAcceptor::from_tokio(listener) else {
+        return;
+    };
+    if let Err(error) = poem::Server::new_with_acceptor(acceptor).run(app).await {
+        tracing::error!("admin: {error}");
+    }
+}
+
+#[handler]
+async fn run_command(node: Data<&Arc<Node>>, request: &Request, line: String) -> Response {
+    let Some(who) = bearer(request).and_then(|secret| node.operator_of(secret)) else {
+        return text(StatusCode::UNAUTHORIZED, "an operator's key is needed".into());
+    };
+    match lang::parse(&line) {
+        Err(fault) => text(StatusCode::BAD_REQUEST, fault.to_string()),
+        Ok(Statement::Query(query)) => json(StatusCode::OK, &node.report(query)),
+        Ok(Statement::Command(command)) => {
+            let answer = node.command(&who, &command, Instant::now() + COMMAND_TIME).await;
+            json(status_of(&answer), &answer)
+        }
+    }
+}
+
+const fn status_of(answer: &Answer) -> StatusCode {
+    match answer {
+        Answer::Accepted { .. } | Answer::Allowed { .. } => StatusCode::OK,
+        Answer::Pending { .. } => StatusCode::ACCEPTED,
+        Answer::Refused { .. } => StatusCode::CONFLICT,
+    }
+}
+
+#[handler]
+fn get_metrics(node: Data<&Arc<Node>>) -> String {
+    node.gauge();
+    node.metrics
+        .as_ref()
+        .map(metrics_exporter_prometheus::PrometheusHandle::render)
+        .unwrap_or_default()
+}
+
+impl Node {
+    /// Sets the gauges that are read from the tables.
+    #[expect(clippy::cast_precision_loss, reason = "metrics are floating point")]
+    fn gauge(&self) {
+        let now = Instant::now();
+        let state = self.state.lock();
+        metrics::gauge!("lagoonrelay_config_offset").set(state.tables.next as f64);
+        let confirmed = state.fresh.confirmed(now, state.tables.next, state.voters());
+        let age = confirmed.map_or(f64::INFINITY, |at| {
+            now.saturating_duration_since(at).as_secs_f64()
+        });
+        metrics::gauge!("lagoonrelay_config_age_seconds").set(age);
+        for (team, purse) in &state.purses {
+            metrics::gauge!("lagoonrelay_units_held", "team" => team.clone()).set(purse.rights() as f64);
+            metrics::gauge!("lagoonrelay_units_used", "team" => team.clone()).set(purse.used() as f64);
+        }
+        for name in state.tables.pools.keys() {
+            let out = f64::from(state.tables.hosts_out(name));
+            metrics::gauge!("lagoonrelay_hosts_out", "pool" => name.clone()).set(out);
+        }
+    }
+}
+
+#[handler]
+fn get_events(node: Data<&Arc<Node>>, request: &Request, Query(query): Query<Since>) -> Response {
+    if bearer(request)
+        .and_then(|secret| node.operator_of(secret))
+        .is_none()
+    {
+        return text(StatusCode::UNAUTHORIZED, "an operator's key is needed".into());
+    }
+    json(StatusCode::OK, &node.events.since(query.since))
+}
+
+fn text(status: StatusCode, words: String) -> Response {
+    Response::builder()
+        .status(status)
+        .header(VERDICT_HEADER, Verdict::NotRun.as_str())
+        .body(words)
+}
+
+fn json(status: StatusCode, value: &impl serde::Serialize) -> Response {
+    let body = serde_json::to_string(value).unwrap_or_default();
+    Response::builder()
+        .status(status)
+        .content_type("application/json")
+        .body(body)
+}
--- /dev/null
+++ b/components/entry/src/admit.rs
@@ -0,0 +1,337 @@
+//! Admission: requests wait by pool and team until a unit and a worker's slot are free.
+//!
+//! The fair order starts the team furthest below its share, counted over the whole fleet from the peers'
+//! heartbeats. A queue is limited in length and in age; what is refused here has not run.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use config::{Admission, Placement};
+use edge::Fault;
+use policy::{Candidate, Choice, Claimant, Pick, choose, pick};
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use crate::node::Node;
+use crate::state::State;
+
+const TICK: Duration = Duration::from_millis(20);
+const USAGE_TIME: Duration = Duration::from_secs(3);
+
+/// Everything that waits on this host.
+#[derive(Debug, Default)]
+pub struct Queues {
+    pools: BTreeMap<String, BTreeMap<String, VecDeque<Waiter>>>,
+    usage: BTreeMap<String, f64>,
+}
+
+/// One request or job that waits.
+#[derive(Debug)]
+struct Waiter {
+    since: Instant,
+    urgent: bool,
+    avoid: Option<String>,
+    grant: oneshot::Sender<Grant>,
+}
+
+/// A unit and a slot, given to a waiter.
+#[derive(Debug)]
+struct Grant {
+    team: String,
+    worker: String,
+}
+
+/// What a request asks of admission.
+#[derive(Debug, Clone)]
+pub struct Ask {
+    /// Team that is charged.
+    pub team: String,
+    /// Pool that serves it.
+    pub pool: String,
+    /// Goes before the team's other work.
+    pub urgent: bool,
+    /// Zone to avoid, if another has room.
+    pub avoid: Option<String>,
+}
+
+/// A unit of a team and a slot of a worker, held until dropped.
+#[derive(Debug)]
+pub struct Hold {
+    node: Arc<Node>,
+    /// Team that is charged.
+    pub team: String,
+    /// Worker name.
+    pub worker: String,
+    /// Worker address.
+    pub addr: String,
+    /// Worker's availability zone.
+    pub zone: String,
+}
+
+impl Drop for Hold {
+    fn drop(&mut self) {
+        let mut state = self.node.state.lock();
+        state.give_back(&self.team, &self.worker);
+        drop(state);
+        self.node.dispatch_kick.notify_one();
+    }
+}
+
+impl Queues {
+    /// Waiting requests of a team over all pools.
+    #[must_use]
+    pub fn waiting(&self, team: &str) -> i64 {
+        let lengths = self
+            .pools
+            .values()
+            .filter_map(|teams| teams.get(team))
+            .map(VecDeque::len);
+        i64::try_from(lengths.sum::<usize>()).unwrap_or(i64::MAX)
+    }
+
+    /// Recent usage of a team in average running tasks.
+    #[must_use]
+    pub fn usage(&self, team: &str) -> f64 {
+        self.usage.get(team).copied().unwrap_or(0.0)
+    }
+
+    fn push(&mut self, ask: &Ask, waiter: Waiter, most: usize) -> bool {
+        let queue = self
+            .pools
+            .entry(ask.pool.clone())
+            .or_default()
+            .entry(ask.team.clone())
+            .or_default();
+        if queue.len() >= most {
+            return false;
+        }
+        if waiter.urgent {
+            queue.push_front(waiter);
+        } else {
+            queue.push_back(waiter);
+        }
+        true
+    }
+
+    fn purge(&mut self) {
+        for queue in self.pools.values_mut().flat_map(BTreeMap::values_mut) {
+            queue.retain(|w| !w.grant.is_closed());
+        }
+    }
+}
+
+impl State {
+    fn give_back(&mut self, team: &str, worker: &str) {
+        if let Some(purse) = self.purses.get_mut(team) {
+            purse.release();
+        }
+        if let Some(view) = self.workers.get_mut(worker) {
+            view.inflight = view.inflight.saturating_sub(1);
+        }
+    }
+
+    /// Tasks of a team running fleet-wide, as last heard.
+    #[must_use]
+    pub fn running(&self, team: &str) -> i64 {
+        let own = self.purses.get(team).map_or(0, escrow::Purse::used);
+        own + self
+            .peers
+            .values()
+            .filter_map(|p| p.load.get(team))
+            .map(|l| l.running)
+            .sum::<i64>()
+    }
+
+    fn waits_elsewhere(&self, team: &str) -> bool {
+        self.peers
+            .values()
+            .filter_map(|p| p.load.get(team))
+            .any(|l| l.waiting > 0)
+    }
+
+    fn claimant(&self, name: &str, ready: bool) -> Claimant {
+        let share = self.tables.teams.get(name).map_or(1, |t| t.share);
+        #[expect(clippy::cast_precision_loss, reason = "counts of tasks are small")]
+        let running = self.running(name) as f64;
+        Claimant {
+            share: f64::from(share),
+            running,
+            usage: self.queues.usage(name),
+            ready,
+            elsewhere: self.waits_elsewhere(name),
+        }
+    }
+
+    /// Team of a pool whose waiter goes next.
+    fn next_team(&self, pool: &str, admission: Admission) -> Option<String> {
+        let queues = self.queues.pools.get(pool)?;
+        let has_unit = |team: &str| self.purses.get(team).is_some_and(|p| p.free() > 0);
+        let ready = |team: &str| queues.get(team).is_some_and(|q| !q.is_empty()) && has_unit(team);
+        match admission {
+            Admission::Fifo => {
+                let oldest = queues.iter().filter(|(team, _)| ready(team));
+                let oldest = oldest.filter_map(|(team, q)| q.front().map(|w| (w.since, team)));
+                oldest.min().map(|(_, team)| team.clone())
+            }
+            Admission::Fair => {
+                let names: Vec<&String> = self.tables.teams.keys().collect();
+                let claimants: Vec<Claimant> = names.iter().map(|t| self.claimant(t, ready(t))).collect();
+                match pick(&claimants) {
+                    Pick::Start(index) => Some(names[index].clone()),
+                    Pick::Yield | Pick::Idle => None,
+                }
+            }
+        }
+    }
+
+    /// Worker of a pool for the next task.
+    fn next_worker(
+        &self,
+        pool: &str,
+        avoid: Option<&str>,
+        placement: Placement,
+        now: Instant,
+    ) -> Option<String> {
+        let in_pool = self
+            .tables
+            .hosts
+            .iter()
+            .filter(|(_, h)| h.pool == pool)
+            .map(|(name, _)| name);
+        let names: Vec<&String> = in_pool.filter(|name| self.in_service(name)).collect();
+        let views: Vec<_> = names.iter().filter_map(|name| self.workers.get(*name)).collect();
+        let ejected = views.iter().filter(|v| v.is_ejected(now)).count();
+        let heed = ejected * 2 <= views.len();
+        let candidates: Vec<Candidate> = views
+            .iter()
+            .map(|v| Candidate {
+                load: if heed && v.is_ejected(now) {
+                    v.info.slots
+                } else {
+                    v.load(now)
+                },
+                slots: v.info.slots,
+                avoid: avoid == Some(v.info.zone.as_str()),
+            })
+            .collect();
+        let choice = match placement {
+            Placement::TwoChoices => Choice::TwoChoices,
+            Placement::LeastLoaded => Choice::LeastLoaded,
+            Placement::Random => Choice::Random,
+        };
+        choose(choice, &candidates, &mut rand::rng()).map(|i| names[i].clone())
+    }
+
+    /// Takes one waiter of a pool with a unit and a slot.
+    fn grant_one(
+        &mut self,
+        pool: &str,
+        node: &Node,
+        now: Instant,
+    ) -> Option<(oneshot::Sender<Grant>, Grant)> {
+        let team = self.next_team(pool, node.settings.admission)?;
+        let avoid = self.queues.pools.get(pool)?.get(&team)?.front()?.avoid.clone();
+        let worker = self.next_worker(pool, avoid.as_deref(), node.settings.placement, now)?;
+        self.may_start(now, node.fresh(), &worker).ok()?;
+        if !self.purses.get_mut(&team)?.acquire() {
+            return None;
+        }
+        if let Some(view) = self.workers.get_mut(&worker) {
+            view.inflight += 1;
+        }
+        let waiter = self.queues.pools.get_mut(pool)?.get_mut(&team)?.pop_front()?;
+        metrics::histogram!("lagoonrelay_queue_seconds").record(waiter.since.elapsed().as_secs_f64());
+        Some((waiter.grant, Grant { team, worker }))
+    }
+}
+
+impl Node {
+    /// Waits for a unit and a slot.
+    ///
+    /// # Errors
+    /// A `NotRun` fault when the queue is full or the wait is over.
+    pub async fn admit(self: &Arc<Self>, ask: &Ask, until: Instant) -> Result<Hold, Fault> {
+        let (grant, granted) = oneshot::channel();
+        let waiter = Waiter {
+            since: Instant::now(),
+            urgent: ask.urgent,
+            avoid: ask.avoid.clone(),
+            grant,
+        };
+        let most = self.settings.limits.queue_length;
+        if !self.state.lock().queues.push(ask, waiter, most) {
+            return Err(Fault::not_run(format!("queue of team {} is full", ask.team)));
+        }
+        self.dispatch_kick.notify_one();
+        match timeout(crate::node::left(until), granted).await {
+            Ok(Ok(grant)) => Ok(self.hold(grant)),
+            _ => Err(Fault::not_run("no slot became free in time")),
+        }
+    }
+
+    /// Latest time to leave the queue.
+    pub fn queue_until(&self, deadline: Instant) -> Instant {
+        deadline.min(Instant::now() + Duration::from_millis(self.settings.limits.queue_ms))
+    }
+
+    fn hold(self: &Arc<Self>, grant: Grant) -> Hold {
+        let info = self
+            .state
+            .lock()
+            .workers
+            .get(&grant.worker)
+            .map(|w| w.info.clone());
+        let (addr, zone) = info.map(|i| (i.addr, i.zone)).unwrap_or_default();
+        Hold {
+            node: Arc::clone(self),
+            team: grant.team,
+            worker: grant.worker,
+            addr,
+            zone,
+        }
+    }
+
+    /// Grants all that can be granted now.
+    fn dispatch(self: &Arc<Self>) {
+        let pools: Vec<String> = self.state.lock().queues.pools.keys().cloned().collect();
+        for pool in pools {
+            loop {
+                let found = self.state.lock().grant_one(&pool, self, Instant::now());
+                let Some((sender, grant)) = found else { break };
+                if let Err(grant) = sender.send(grant) {
+                    drop(self.hold(grant));
+                }
+            }
+        }
+    }
+}
+
+/// Grants waiters until the node stops.
+pub async fn run(node: Arc<Node>) {
+    let ticks = node.timer.every(TICK);
+    let mut last = Instant::now();
+    loop {
+        tokio::select! {
+            () = ticks.tick() => last = charge(&node, last),
+            () = node.dispatch_kick.notified() => {}
+        }
+        node.dispatch();
+    }
+}
+
+/// Charges each team for what it runs; old usage decays.
+fn charge(node: &Node, last: Instant) -> Instant {
+    let now = Instant::now();
+    let part = (now - last).as_secs_f64() / USAGE_TIME.as_secs_f64();
+    let mut state = node.state.lock();
+    state.queues.purge();
+    let names: Vec<String> = state.tables.teams.keys().cloned().collect();
+    for name in names {
+        #[expect(clippy::cast_precision_loss, reason = "counts of tasks are small")]
+        let running = state.running(&name) as f64;
+        let usage = state.queues.usage.entry(name).or_default();
+        *usage += (running - *usage) * part.min(1.0);
+    }
+    now
+}
--- /dev/null
+++ b/components/entry/src/attempt.rs
@@ -0,0 +1,226 @@
+//! One attempt to run a request on a worker.
+//!
+//! While the answer is awaited, the worker is asked for the task over new connections, so that a connection
+//! that has gone silent is found and the task is settled by its id. A lost answer is settled the same way.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use edge::{Answer, StartOrder, TaskKind, TaskState, Verdict, wall_ms};
+use events::Event;
+use poem::http::StatusCode;
+use tokio::time::sleep;
+
+use crate::admit::Hold;
+use crate::node::{Node, left};
+use crate::state::Bar;
+
+const SETTLE_PAUSE: Duration = Duration::from_millis(100);
+const LINGER_PAUSE: Duration = Duration::from_millis(500);
+
+/// A task to try.
+#[derive(Debug, Clone)]
+pub struct Task {
+    /// Unique id.
+    pub id: String,
+    /// Request or job.
+    pub kind: TaskKind,
+    /// Path with query.
+    pub path: String,
+    /// Caller's body.
+    pub body: Bytes,
+}
+
+/// What became of an attempt.
+#[derive(Debug, Clone)]
+pub enum Tried {
+    /// The worker answered.
+    Answered(Answer),
+    /// It did not run and will not under this id.
+    NotRun {
+        /// The cause, in words.
+        reason: String,
+        /// True if the worker only lacked a slot.
+        full: bool,
+    },
+    /// It may have run, or still runs.
+    Unknown {
+        /// The cause, in words.
+        reason: String,
+    },
+}
+
+/// What a worker knows of a task.
+#[derive(Debug, Clone)]
+pub enum Settled {
+    /// It did not run and will not.
+    Barred,
+    /// It ran.
+    Ended(Answer),
+    /// Nobody can tell in time.
+    Unknown(String),
+}
+
+impl Tried {
+    fn not_run(reason: impl Into<String>) -> Self {
+        Self::NotRun {
+            reason: reason.into(),
+            full: false,
+        }
+    }
+}
+
+impl Node {
+    /// Tries a task on the worker of a hold. If its end is not known, the hold is kept until it is.
+    pub async fn attempt(self: &Arc<Self>, hold: Hold, task: &Task, deadline: Instant) -> Tried {
+        let tried = self.attempt_held(&hold, task, deadline).await;
+        self.note(Event {
+            kind: tried.kind().into(),
+            job: task.id.clone(),
+            worker: hold.worker.clone(),
+            team: hold.team.clone(),
+            zone: hold.zone.clone(),
+            ..Event::default()
+        });
+        if matches!(tried, Tried::Unknown { .. }) {
+            tokio::spawn(linger(Arc::clone(self), hold, task.id.clone()));
+        }
+        tried
+    }
+
+    /// Tries a task under a hold that stays with the caller.
+    pub async fn attempt_held(&self, hold: &Hold, task: &Task, deadline: Instant) -> Tried {
+        let Some(boot) = self.boot_of(&hold.worker, &hold.addr).await else {
+            self.worker_answered(&hold.worker, false, None);
+            return Tried::not_run(format!("worker {} does not answer", hold.worker));
+        };
+        let order = match self.order(hold, task, boot) {
+            Ok(order) => order,
+            Err(bar) => return Tried::not_run(format!("{bar}")),
+        };
+        let tried = self.start_and_watch(hold, &order, deadline).await;
+        match &tried {
+            Tried::Answered(answer) => {
+                let ok = !answer.status.is_server_error();
+                self.worker_answered(&hold.worker, ok, Some(answer.running));
+            }
+            Tried::NotRun { full: true, .. } => self.worker_full(&hold.worker),
+            Tried::NotRun { .. } | Tried::Unknown { .. } => self.worker_answered(&hold.worker, false, None),
+        }
+        tried
+    }
+
+    /// The order to send, checked once more against all that is in force.
+    fn order(&self, hold: &Hold, task: &Task, boot: u64) -> Result<StartOrder, Bar> {
+        let now = Instant::now();
+        let until = self.state.lock().may_start(now, self.fresh(), &hold.worker)?;
+        let spare = u64::try_from((until - now).as_millis()).unwrap_or(0);
+        Ok(StartOrder {
+            id: task.id.clone(),
+            lease: self.inc,
+            boot,
+            team: hold.team.clone(),
+            kind: task.kind,
+            not_after: wall_ms() + spare,
+            path: task.path.clone(),
+            body: task.body.clone(),
+        })
+    }
+
+    async fn start_and_watch(&self, hold: &Hold, order: &StartOrder, deadline: Instant) -> Tried {
+        let start = self.edges.workers.start(&hold.addr, order, left(deadline));
+        tokio::pin!(start);
+        let probe = Duration::from_millis(self.settings.timing.probe_ms);
+        loop {
+            tokio::select! {
+                done = &mut start => return match done {
+                    Ok(answer) => Tried::Answered(answer),
+                    Err(fault) if fault.verdict == Verdict::NotRun => {
+                        Tried::NotRun { full: fault.reason == "no slot is free", reason: fault.reason }
+                    }
+                    Err(fault) => self.settle_lost(hold, &order.id, deadline, &fault.reason).await,
+                },
+                () = sleep(probe) => match self.edges.workers.status(&hold.addr, &order.id).await {
+                    Ok(TaskState::Running) | Err(_) => {}
+                    Ok(_) => return self.settle_lost(hold, &order.id, deadline, "connection went silent").await,
+                },
+            }
+        }
+    }
+
+    async fn settle_lost(&self, hold: &Hold, id: &str, deadline: Instant, cause: &str) -> Tried {
+        match self.settle(&hold.addr, id, deadline).await {
+            Settled::Barred => Tried::not_run(cause),
+            Settled::Ended(answer) => Tried::Answered(answer),
+            Settled::Unknown(reason) => Tried::Unknown {
+                reason: format!("{cause}; {reason}"),
+            },
+        }
+    }
+
+    /// Bars a task at its worker, or waits for the end of one that has started.
+    pub async fn settle(&self, addr: &str, id: &str, deadline: Instant) -> Settled {
+        let mut last = String::from("no time left to ask the worker");
+        while left(deadline) > Duration::ZERO {
+            match self.edges.workers.bar(addr, id).await {
+                Ok(TaskState::Barred | TaskState::Unseen) => return Settled::Barred,
+                Ok(TaskState::Ended { status, body }) => return Settled::Ended(answer_of(status, body)),
+                Ok(TaskState::Stopped) => return Settled::Unknown("task was stopped while it ran".into()),
+                Ok(TaskState::Running) => last = "task still runs".into(),
+                Err(fault) => last = fault.reason,
+            }
+            sleep(SETTLE_PAUSE.min(left(deadline))).await;
+        }
+        Settled::Unknown(last)
+    }
+}
+
+impl Tried {
+    const fn kind(&self) -> &'static str {
+        match self {
+            Self::Answered(_) => "answered",
+            Self::NotRun { .. } => "not-run",
+            Self::Unknown { .. } => "unknown",
+        }
+    }
+}
+
+impl std::fmt::Display for Bar {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Self::Stale => "this host cannot confirm that its configuration is in force",
+            Self::Out => "this host takes no work",
+            Self::Place => "the worker takes no work",
+        })
+    }
+}
+
+fn answer_of(status: u16, body: String) -> Answer {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    Answer {
+        status,
+        body: body.into(),
+        running: 0,
+    }
+}
+
+/// Keeps a unit until its task has ended, or the platform has removed the worker.
+///
+/// A restarted worker has not seen the id and bars it.
+async fn linger(node: Arc<Node>, hold: Hold, id: String) {
+    loop {
+        match node.edges.workers.bar(&hold.addr, &id).await {
+            Ok(TaskState::Running) => {}
+            Ok(_) => return,
+            Err(_) if !is_listed(&node, &hold.worker) => return,
+            Err(_) => {}
+        }
+        sleep(LINGER_PAUSE).await;
+    }
+}
+
+/// True while the platform lists a worker; one with tasks in flight is remembered beyond that.
+fn is_listed(node: &Node, worker: &str) -> bool {
+    node.state.lock().workers.get(worker).is_some_and(|w| w.listed)
+}
--- /dev/null
+++ b/components/entry/src/node.rs
@@ -0,0 +1,246 @@
+//! The node: what all parts of one entry host share, and how they start and stop together.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use config::Settings;
+use edge::{HttpLog, HttpRoster, HttpWorkers, Log, Roster, Workers, wall_ms};
+use events::{Event, Store};
+use fold::{Act, Incarnation};
+use metrics_exporter_prometheus::PrometheusHandle;
+use parking_lot::Mutex;
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, mpsc, watch};
+
+use crate::append::{self, Proposal, Proposed};
+use crate::once::Registry;
+use crate::peers::Links;
+use crate::state::State;
+use crate::timer::Timer;
+use crate::{admin, admit, drain, jobs, members, peers, serve, tail, units, workers};
+
+const JOIN_WAIT: Duration = Duration::from_secs(3600);
+const MEMBER_TICK: Duration = Duration::from_millis(50);
+
+/// Why an entry host stopped before it was told to.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A listener cannot be used.
+    #[error("cannot listen: {0}")]
+    Listen(#[from] std::io::Error),
+    /// The log no longer keeps entries that were not applied.
+    #[error("fell behind the log's horizon; start again to recover from a checkpoint")]
+    Behind,
+    /// The other members have shut this run out.
+    #[error("shut out by the other entry hosts; start again to join anew")]
+    Fenced,
+    /// The system gives no randomness.
+    #[error("the system gives no randomness")]
+    NoRandom,
+}
+
+/// Ways to the outside.
+#[derive(Debug)]
+pub struct Edges {
+    /// The platform's log.
+    pub log: Box<dyn Log>,
+    /// The platform's host list.
+    pub roster: Box<dyn Roster>,
+    /// Worker hosts.
+    pub workers: Box<dyn Workers>,
+}
+
+impl Edges {
+    /// The HTTP forms that the settings name.
+    #[must_use]
+    pub fn http(settings: &Settings) -> Self {
+        let timeout = Duration::from_millis(settings.timing.call_ms);
+        Self {
+            log: Box::new(HttpLog::new(&settings.log.to_string(), timeout)),
+            roster: Box::new(HttpRoster::new(&settings.list.to_string(), timeout)),
+            workers: Box::new(HttpWorkers::new(timeout)),
+        }
+    }
+}
+
+/// Bound sockets of one entry host.
+#[derive(Debug)]
+pub struct Listeners {
+    /// For callers.
+    pub callers: TcpListener,
+    /// For operators and metrics.
+    pub admin: TcpListener,
+    /// For other entry hosts.
+    pub peer: TcpListener,
+}
+
+impl Listeners {
+    /// Binds the addresses in the settings.
+    ///
+    /// # Errors
+    /// [`Error::Listen`] when an address is taken.
+    pub async fn bind(settings: &Settings) -> Result<Self, Error> {
+        Ok(Self {
+            callers: TcpListener::bind(settings.callers).await?,
+            admin: TcpListener::bind(settings.admin).await?,
+            peer: TcpListener::bind(settings.peer).await?,
+        })
+    }
+}
+
+/// What all parts of one entry host share.
+#[derive(Debug)]
+pub struct Node {
+    /// Settings.
+    pub settings: Settings,
+    /// This run of the host.
+    pub inc: Incarnation,
+    pub(crate) secret: [u8; 32],
+    pub(crate) edges: Edges,
+    pub(crate) state: Mutex<State>,
+    pub(crate) events: Store,
+    pub(crate) timer: Timer,
+    pub(crate) proposals: mpsc::UnboundedSender<Proposal>,
+    pub(crate) tail_kick: Notify,
+    pub(crate) applied: Notify,
+    pub(crate) dispatch_kick: Notify,
+    pub(crate) beat_kick: Notify,
+    pub(crate) links: Links,
+    pub(crate) registry: Registry,
+    pub(crate) metrics: Option<PrometheusHandle>,
+}
+
+impl Node {
+    /// Longest time without a confirmation before no work is started.
+    #[must_use]
+    pub(crate) const fn fresh(&self) -> Duration {
+        Duration::from_millis(self.settings.timing.fresh_ms)
+    }
+
+    /// Adds an event to the time line.
+    pub(crate) fn note(&self, event: Event) {
+        self.events.add(wall_ms(), event);
+    }
+
+    /// True if this host is the one for a duty, by rendezvous hashing over live members.
+    pub(crate) fn has_duty(&self, duty: &str) -> bool {
+        let state = self.state.lock();
+        state.is_live() && duty_owner(&state, duty) == Some(self.inc)
+    }
+}
+
+/// Live member with the highest hash for a duty.
+pub(crate) fn duty_owner(state: &State, duty: &str) -> Option<Incarnation> {
+    let weight = |inc: &Incarnation| {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(duty.as_bytes());
+        hasher.update(&inc.to_le_bytes());
+        *hasher.finalize().as_bytes()
+    };
+    state.staying().into_iter().max_by_key(weight)
+}
+
+/// Runs an entry host until `stop` says so, then drains it.
+///
+/// # Errors
+/// [`Error`] when it cannot go on as this incarnation.
+pub async fn run(
+    settings: Settings,
+    listeners: Listeners,
+    metrics: Option<PrometheusHandle>,
+    stop: watch::Receiver<u32>,
+) -> Result<(), Error> {
+    let (node, proposals) = build(settings, metrics)?;
+    let mut tasks = tokio::task::JoinSet::new();
+    let timer = Arc::clone(&node);
+    tasks.spawn(async move { timer.timer.run().await });
+    tasks.spawn(append::run(Arc::clone(&node), proposals));
+    tasks.spawn(peers::listen(Arc::clone(&node), listeners.peer));
+    tasks.spawn(admin::listen(Arc::clone(&node), listeners.admin));
+    tail::recover(&node).await;
+    let tail = tokio::spawn(tail::run(Arc::clone(&node)));
+    join(&node).await;
+    spawn_systems(&node, &mut tasks);
+    tasks.spawn(serve::listen(Arc::clone(&node), listeners.callers));
+    tracing::info!(
+        "node: {} serves as incarnation {:016x}",
+        node.settings.name,
+        node.inc
+    );
+    let end = tokio::select! {
+        end = tail => end.unwrap_or(Ok(())),
+        () = fenced(&node) => Err(Error::Fenced),
+        () = drain::run(Arc::clone(&node), stop) => Ok(()),
+    };
+    tasks.shutdown().await;
+    end
+}
+
+fn build(
+    settings: Settings,
+    metrics: Option<PrometheusHandle>,
+) -> Result<(Arc<Node>, mpsc::UnboundedReceiver<Proposal>), Error> {
+    let mut bytes = [0; 8];
+    getrandom::fill(&mut bytes).map_err(|_| Error::NoRandom)?;
+    let inc = Incarnation::from_le_bytes(bytes) >> 1;
+    let (sender, receiver) = mpsc::unbounded_channel();
+    let node = Node {
+        inc,
+        secret: blake3::derive_key("lagoonrelay shared secret", settings.secret.expose().as_bytes()),
+        edges: Edges::http(&settings),
+        state: Mutex::new(State::new(inc)),
+        events: Store::new(&settings.name, settings.limits.events),
+        timer: Timer::default(),
+        proposals: sender,
+        tail_kick: Notify::new(),
+        applied: Notify::new(),
+        dispatch_kick: Notify::new(),
+        beat_kick: Notify::new(),
+        links: Links::default(),
+        registry: Registry::default(),
+        metrics,
+        settings,
+    };
+    Ok((Arc::new(node), receiver))
+}
+
+async fn join(node: &Node) {
+    let act = Act::Join {
+        host: node.settings.name.clone(),
+        peer: node.settings.dialled().to_string(),
+        admin: node.settings.admin.to_string(),
+        zone: node.settings.zone.clone(),
+    };
+    while !matches!(node.propose(act.clone(), JOIN_WAIT).await, Proposed::Folded(_)) {}
+    node.note(Event {
+        kind: "join".into(),
+        zone: node.settings.zone.clone(),
+        ..Event::default()
+    });
+}
+
+fn spawn_systems(node: &Arc<Node>, tasks: &mut tokio::task::JoinSet<()>) {
+    tasks.spawn(peers::beat(Arc::clone(node)));
+    tasks.spawn(peers::sync_claims(Arc::clone(node)));
+    tasks.spawn(workers::run(Arc::clone(node)));
+    tasks.spawn(admit::run(Arc::clone(node)));
+    tasks.spawn(jobs::run(Arc::clone(node)));
+    tasks.spawn(members::run(Arc::clone(node)));
+    tasks.spawn(members::run_checkpoints(Arc::clone(node)));
+    tasks.spawn(units::run(Arc::clone(node)));
+}
+
+async fn fenced(node: &Node) {
+    let ticks = node.timer.every(MEMBER_TICK);
+    loop {
+        ticks.tick().await;
+        if node.state.lock().fail_if_fenced() {
+            return;
+        }
+    }
+}
+
+/// Time left until an instant; zero if it has passed.
+pub(crate) fn left(until: Instant) -> Duration {
+    until.saturating_duration_since(Instant::now())
+}
--- /dev/null
+++ b/components/entry/src/once.rs
@@ -0,0 +1,311 @@
+//! Requests with an idempotency key: at most once, through whichever entry host they come.
+//!
+//! A claim that names the worker is stored by a majority of the members before the request is started. Earlier
+//! claims on the key are settled with their workers first. Concurrent repeats on one host share one result.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use claims::{Claim, MAX_ROUNDS, Next, Poll, Reply};
+use edge::{Answer, Fault, TaskKind};
+use parking_lot::Mutex;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+use wire::{Body, ClaimMessage};
+
+use crate::admit::Hold;
+use crate::attempt::{Settled, Task, Tried};
+use crate::node::{Node, left};
+use crate::serve::Work;
+
+const POLL_TIME: Duration = Duration::from_millis(500);
+const FULL_PAUSE: Duration = Duration::from_millis(20);
+const MAX_EARNED: u32 = 10_000;
+const MAX_RESULTS: usize = 20_000;
+
+/// Result of a keyed request.
+pub type Done = Result<Answer, Fault>;
+
+/// Keyed requests of this host: in flight, and answered lately.
+#[derive(Debug, Default)]
+pub struct Registry {
+    /// Budget for retries of idempotent requests.
+    pub budget: RetryBudget,
+    entries: Mutex<Entries>,
+}
+
+/// Retries that the traffic so far has earned, in hundredths.
+#[derive(Debug)]
+pub struct RetryBudget {
+    hundredths: Mutex<u32>,
+}
+
+impl Default for RetryBudget {
+    fn default() -> Self {
+        Self {
+            hundredths: Mutex::new(MAX_EARNED / 10),
+        }
+    }
+}
+
+impl RetryBudget {
+    /// Adds what one request earns.
+    pub fn earn(&self, percent: u32) {
+        let mut earned = self.hundredths.lock();
+        *earned = (*earned + percent).min(MAX_EARNED);
+    }
+
+    /// Spends one retry, if one is earned.
+    pub fn spend(&self) -> bool {
+        let mut earned = self.hundredths.lock();
+        let enough = *earned >= 100;
+        *earned -= if enough { 100 } else { 0 };
+        enough
+    }
+}
+
+#[derive(Debug, Default)]
+struct Entries {
+    results: HashMap<String, watch::Receiver<Option<Done>>>,
+    order: VecDeque<String>,
+}
+
+enum Role {
+    First(watch::Sender<Option<Done>>),
+    Repeat(watch::Receiver<Option<Done>>),
+}
+
+impl Registry {
+    fn enter(&self, id: &str) -> Role {
+        let mut entries = self.entries.lock();
+        if let Some(result) = entries.results.get(id) {
+            return Role::Repeat(result.clone());
+        }
+        let (sender, receiver) = watch::channel(None);
+        entries.results.insert(id.to_owned(), receiver);
+        entries.order.push_back(id.to_owned());
+        if entries.order.len() > MAX_RESULTS
+            && let Some(oldest) = entries.order.pop_front()
+        {
+            entries.results.remove(&oldest);
+        }
+        Role::First(sender)
+    }
+
+    fn forget(&self, id: &str) {
+        let mut entries = self.entries.lock();
+        entries.results.remove(id);
+        entries.order.retain(|other| other != id);
+    }
+}
+
+/// What one round came to.
+enum Round {
+    /// The request has its result.
+    Done(Done),
+    /// Nothing ran under this claim; try above these claims.
+    Higher(u32),
+}
+
+impl Node {
+    /// Runs a keyed request at most once.
+    pub(crate) async fn run_once(self: &Arc<Self>, id: &str, work: &Work) -> Done {
+        match self.registry.enter(id) {
+            Role::Repeat(result) => wait_result(result, work.deadline).await,
+            Role::First(sender) => {
+                let done = self.run_rounds(id, work).await;
+                if done.is_err() {
+                    self.registry.forget(id);
+                }
+                let _ = sender.send(Some(done.clone()));
+                done
+            }
+        }
+    }
+
+    async fn run_rounds(self: &Arc<Self>, id: &str, work: &Work) -> Done {
+        let mut round = 1;
+        for _ in 0..MAX_ROUNDS {
+            match self.run_round(id, round, work).await {
+                Round::Done(done) => return done,
+                Round::Higher(next) => round = next,
+            }
+        }
+        Err(Fault::not_run("too many hosts tried this key at once"))
+    }
+
+    async fn run_round(self: &Arc<Self>, id: &str, round: u32, work: &Work) -> Round {
+        let hold = match self.admit(&work.ask, self.queue_until(work.deadline)).await {
+            Ok(hold) => hold,
+            Err(fault) => return Round::Done(self.refuse_round(id, fault, work).await),
+        };
+        let Some(boot) = self.boot_of(&hold.worker, &hold.addr).await else {
+            self.worker_answered(&hold.worker, false, None);
+            return Round::Higher(round);
+        };
+        let claim = Claim {
+            id: id.to_owned(),
+            round,
+            owner: self.inc,
+            worker: hold.worker.clone(),
+            boot,
+        };
+        let (poll, next) = self.offer_to_members(&claim).await;
+        let (starts, others) = match next {
+            Next::Start(others) => (true, others),
+            Next::Retry(others) => (false, others),
+            Next::Wait => return Round::Done(Err(Fault::may_have_run("no majority of entry hosts answers"))),
+        };
+        if let Some(done) = self.settle_claims(&others, work.deadline).await {
+            return Round::Done(done);
+        }
+        if starts {
+            self.start_claimed(hold, &claim, work).await
+        } else {
+            Round::Higher(poll.next_round(round))
+        }
+    }
+
+    /// A refusal by admission is only true if no earlier claim on the key has run.
+    async fn refuse_round(&self, id: &str, fault: Fault, work: &Work) -> Done {
+        let probe = Claim {
+            id: id.to_owned(),
+            round: 0,
+            owner: self.inc,
+            worker: String::new(),
+            boot: 0,
+        };
+        let members = self.state.lock().voters();
+        let (poll, _) = self.offer_to_members(&probe).await;
+        match poll.next(members) {
+            Next::Wait => Err(Fault::may_have_run(format!(
+                "{}; no majority of entry hosts answers",
+                fault.reason
+            ))),
+            Next::Start(others) | Next::Retry(others) => self
+                .settle_claims(&others, work.deadline)
+                .await
+                .unwrap_or(Err(fault)),
+        }
+    }
+
+    async fn start_claimed(self: &Arc<Self>, hold: Hold, claim: &Claim, work: &Work) -> Round {
+        let task = Task {
+            id: task_id(claim),
+            kind: TaskKind::Request,
+            path: work.path.clone(),
+            body: work.body.clone(),
+        };
+        match self.attempt(hold, &task, work.deadline).await {
+            Tried::Answered(answer) => Round::Done(Ok(answer)),
+            Tried::Unknown { reason } => Round::Done(Err(Fault::may_have_run(reason))),
+            Tried::NotRun { reason, .. } if left(work.deadline) < FULL_PAUSE => {
+                Round::Done(Err(Fault::not_run(reason)))
+            }
+            Tried::NotRun { .. } => {
+                sleep(FULL_PAUSE).await;
+                Round::Higher(claim.round + 1)
+            }
+        }
+    }
+
+    /// Settles claims with their workers; yields a result unless all are barred.
+    async fn settle_claims(&self, others: &[Claim], deadline: Instant) -> Option<Done> {
+        for claim in others.iter().filter(|c| !c.worker.is_empty()) {
+            let view = self.state.lock().workers.get(&claim.worker).cloned();
+            let Some(view) = view else {
+                return Some(Err(Fault::may_have_run(format!(
+                    "worker {} is gone",
+                    claim.worker
+                ))));
+            };
+            match self.settle(&view.info.addr, &task_id(claim), deadline).await {
+                Settled::Ended(answer) => return Some(Ok(answer)),
+                Settled::Unknown(reason) => return Some(Err(Fault::may_have_run(reason))),
+                Settled::Barred => {}
+            }
+            // A worker that restarted has forgotten what it ran before.
+            if self.edges.workers.usage(&view.info.addr).await.map(|u| u.boot) != Ok(claim.boot) {
+                return Some(Err(Fault::may_have_run(format!(
+                    "worker {} has restarted",
+                    claim.worker
+                ))));
+            }
+        }
+        None
+    }
+
+    async fn offer_to_members(&self, claim: &Claim) -> (Poll, Next) {
+        let mut poll = Poll::default();
+        let members = self.state.lock().voters();
+        if let Some(reply) = self.offer_here(claim) {
+            poll.count(reply);
+        }
+        let mut replies = self.ask_peers(&Body::Claim(message_of(claim)));
+        let until = Instant::now() + POLL_TIME;
+        loop {
+            match poll.next(members) {
+                Next::Wait => {}
+                next => return (poll, next),
+            }
+            match timeout(left(until), replies.recv()).await {
+                Ok(Some(Body::ClaimReply(reply))) if !reply.silent => poll.count(Reply {
+                    granted: reply.granted,
+                    others: reply.others.iter().map(claim_of).collect(),
+                }),
+                Ok(Some(_)) => {}
+                Ok(None) | Err(_) => return (poll, Next::Wait),
+            }
+        }
+    }
+
+    /// Stores a claim on this member; none while its claims are not copied yet.
+    pub(crate) fn offer_here(&self, claim: &Claim) -> Option<Reply> {
+        let mut state = self.state.lock();
+        if !state.synced || !state.is_live() {
+            return None;
+        }
+        let reply = state.claims.offer(claim);
+        state.claims.trim(self.settings.limits.claims);
+        Some(reply)
+    }
+}
+
+async fn wait_result(mut result: watch::Receiver<Option<Done>>, deadline: Instant) -> Done {
+    let done = timeout(left(deadline), result.wait_for(Option::is_some)).await;
+    match done {
+        Ok(Ok(done)) => done
+            .clone()
+            .unwrap_or_else(|| Err(Fault::may_have_run("result is lost"))),
+        _ => Err(Fault::may_have_run(
+            "the first request with this key has no result yet",
+        )),
+    }
+}
+
+fn task_id(claim: &Claim) -> String {
+    format!("{}-{}-{:x}", claim.id, claim.round, claim.owner)
+}
+
+/// Wire form of a claim.
+pub(crate) fn message_of(claim: &Claim) -> ClaimMessage {
+    ClaimMessage {
+        request: claim.id.clone(),
+        round: claim.round,
+        owner: claim.owner,
+        worker: claim.worker.clone(),
+        boot: claim.boot,
+    }
+}
+
+/// Claim of a wire form.
+pub(crate) fn claim_of(message: &ClaimMessage) -> Claim {
+    Claim {
+        id: message.request.clone(),
+        round: message.round,
+        owner: message.owner,
+        worker: message.worker.clone(),
+        boot: message.boot,
+    }
+}
--- /dev/null
+++ b/components/entry/src/report.rs
@@ -0,0 +1,144 @@
+//! Answers to operators' queries, as rows that become text or JSON.
+
+use std::time::Instant;
+
+use fold::JobPhase;
+use lang::Query;
+use serde::Serialize;
+use serde_json::{Value, json};
+
+use crate::node::Node;
+use crate::state::State;
+
+/// Rows of one query.
+#[derive(Debug, Serialize)]
+pub struct Report {
+    /// One object a row.
+    pub rows: Vec<Value>,
+}
+
+impl Node {
+    /// Answers a query from this host's tables.
+    pub(crate) fn report(&self, query: Query) -> Report {
+        let state = self.state.lock();
+        let rows = match query {
+            Query::Pools => state.pool_rows(),
+            Query::Hosts => state.host_rows(),
+            Query::Teams => state.team_rows(),
+            Query::Queues => state.queue_rows(),
+            Query::Keys => state.key_rows(),
+            Query::Places => state.place_rows(),
+            Query::Jobs => state.job_rows(),
+            Query::Members => state.member_rows(),
+            Query::Status => vec![self.status_row(&state)],
+        };
+        Report { rows }
+    }
+
+    fn status_row(&self, state: &State) -> Value {
+        let now = Instant::now();
+        let age =
+            |at: Option<std::time::Duration>| at.map(|d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX));
+        let confirmed = state.fresh.confirmed(now, state.tables.next, state.voters());
+        json!({
+            "host": self.settings.name,
+            "incarnation": format!("{:016x}", self.inc),
+            "offset": state.tables.next,
+            "confirmed_ms_ago": age(confirmed.map(|at| now.saturating_duration_since(at))),
+            "log_ms_ago": age(state.fresh.log_age(now)),
+            "starts_work": state.fresh_until(now, self.fresh()).is_some() && state.is_live() && !state.leaving,
+            "votes": state.synced,
+            "claims": state.claims.len(),
+        })
+    }
+}
+
+impl State {
+    fn pool_rows(&self) -> Vec<Value> {
+        let row = |(name, pool): (&String, &fold::Pool)| {
+            let hosts = self.tables.hosts.values().filter(|h| h.pool == *name).count();
+            json!({
+                "pool": name, "hosts": hosts, "budget": pool.budget,
+                "out": self.tables.hosts_out(name), "version": self.tables.version(&format!("pool {name}")),
+            })
+        };
+        self.tables.pools.iter().map(row).collect()
+    }
+
+    fn host_rows(&self) -> Vec<Value> {
+        let now = Instant::now();
+        let row = |(name, view): (&String, &crate::state::WorkerView)| {
+            let pool = self.tables.hosts.get(name).map(|h| h.pool.clone());
+            json!({
+                "host": name, "pool": pool, "zone": view.info.zone, "rack": view.info.rack,
+                "listed": view.info.state, "in_service": self.in_service(name), "ejected": view.is_ejected(now),
+                "inflight": view.inflight, "slots": view.info.slots,
+                "version": self.tables.version(&format!("host {name}")),
+            })
+        };
+        self.workers.iter().map(row).collect()
+    }
+
+    fn team_rows(&self) -> Vec<Value> {
+        let row = |(name, team): (&String, &fold::Team)| {
+            let held = self.purses.get(name).map_or(0, escrow::Purse::rights);
+            json!({
+                "team": name, "share": team.share, "limit": team.ledger.limit, "running": self.running(name),
+                "held_here": held, "unallotted": team.ledger.unallotted(), "waiting_here": self.queues.waiting(name),
+                "version": self.tables.version(&format!("team {name}")),
+            })
+        };
+        self.tables.teams.iter().map(row).collect()
+    }
+
+    fn queue_rows(&self) -> Vec<Value> {
+        let row = |(name, queue): (&String, &fold::Queue)| json!({ "queue": name, "pool": queue.pool, "open": queue.open });
+        self.tables.queues.iter().map(row).collect()
+    }
+
+    fn key_rows(&self) -> Vec<Value> {
+        let row = |(name, key): (&String, &fold::Key)| json!({ "key": name, "team": key.team, "operator": key.operator, "withdrawn": key.withdrawn });
+        self.tables.keys.iter().map(row).collect()
+    }
+
+    fn place_rows(&self) -> Vec<Value> {
+        let outages = self
+            .tables
+            .outages
+            .iter()
+            .map(|p| json!({ "place": p.to_string(), "state": "out" }));
+        let drains = self
+            .tables
+            .drains
+            .iter()
+            .map(|p| json!({ "place": p.to_string(), "state": "draining" }));
+        outages.chain(drains).collect()
+    }
+
+    fn job_rows(&self) -> Vec<Value> {
+        let row = |(id, job): (&String, &fold::Job)| {
+            let worker = match &job.phase {
+                JobPhase::Claimed { worker, .. } => Some(worker.clone()),
+                _ => None,
+            };
+            json!({ "team": job.team, "worker": worker, "view": crate::jobs::JobView::new(id, job) })
+        };
+        self.tables.jobs.iter().map(row).collect()
+    }
+
+    fn member_rows(&self) -> Vec<Value> {
+        let row = |(inc, member): (&fold::Incarnation, &fold::Member)| {
+            let heard = self
+                .peers
+                .get(inc)
+                .and_then(|p| p.heard)
+                .map(|at| at.elapsed().as_millis().to_string());
+            json!({
+                "host": member.host, "incarnation": format!("{inc:016x}"), "zone": member.zone,
+                "admin": member.admin, "state": member.state, "applied": self.fresh.applied_by(*inc),
+                "heard_ms_ago": heard,
+            })
+        };
+        self.tables.members.iter().map(row).collect()
+    }
+}
--- /dev/null
+++ b/components/entry/src/workers.rs
@@ -0,0 +1,84 @@
+//! Keeps the view of the workers: the platform's list, boots, and bad workers.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use edge::HostInfo;
+
+use crate::node::Node;
+use crate::state::{State, WorkerView};
+
+/// Reads the host list at its period until the node stops.
+pub async fn run(node: Arc<Node>) {
+    let ticks = node
+        .timer
+        .every(Duration::from_millis(node.settings.timing.list_ms));
+    loop {
+        match node.edges.roster.hosts().await {
+            Ok(hosts) => take_list(&mut node.state.lock(), hosts),
+            Err(fault) => tracing::warn!("workers: no host list: {fault}"),
+        }
+        node.dispatch_kick.notify_one();
+        ticks.tick().await;
+    }
+}
+
+fn take_list(state: &mut State, hosts: Vec<HostInfo>) {
+    let names: BTreeSet<String> = hosts.iter().map(|h| h.name.clone()).collect();
+    state
+        .workers
+        .retain(|name, view| names.contains(name) || view.inflight > 0);
+    for (name, view) in &mut state.workers {
+        view.listed = names.contains(name);
+    }
+    for info in hosts {
+        match state.workers.get_mut(&info.name) {
+            Some(view) if view.info.addr == info.addr => view.info = info,
+            _ => {
+                state.workers.insert(info.name.clone(), WorkerView::new(info));
+            }
+        }
+    }
+}
+
+impl Node {
+    /// Boot of a worker; asked for once and after a failure.
+    pub(crate) async fn boot_of(&self, worker: &str, addr: &str) -> Option<u64> {
+        let known = self.state.lock().workers.get(worker).and_then(|w| w.boot);
+        if known.is_some() {
+            return known;
+        }
+        let usage = self.edges.workers.usage(addr).await.ok()?;
+        if let Some(view) = self.state.lock().workers.get_mut(worker) {
+            view.boot = Some(usage.boot);
+            view.reported = Some((usage.running, Instant::now()));
+        }
+        Some(usage.boot)
+    }
+
+    /// Counts an answer of a worker.
+    pub(crate) fn worker_answered(&self, worker: &str, ok: bool, running: Option<u32>) {
+        let now = Instant::now();
+        let mut state = self.state.lock();
+        let Some(view) = state.workers.get_mut(worker) else {
+            return;
+        };
+        if let Some(running) = running {
+            view.reported = Some((running, now));
+        }
+        if ok {
+            view.succeed();
+        } else {
+            view.fail(now);
+            view.boot = None;
+        }
+    }
+
+    /// Notes that a worker refused for want of a slot.
+    pub(crate) fn worker_full(&self, worker: &str) {
+        if let Some(view) = self.state.lock().workers.get_mut(worker) {
+            view.reported = Some((view.info.slots, Instant::now()));
+        }
+    }
+}
--- /dev/null
+++ b/components/fold/src/apply.rs
@@ -0,0 +1,316 @@
+//! Applies entries to the tables: membership, units and jobs. Configuration is in `change`.
+
+use crate::Incarnation;
+use crate::record::{Act, Entry, JobOutcome, KeptTask, TeamUnits};
+use crate::tables::{Job, JobPhase, Member, MemberState, Outcome, Refusal, Tables};
+
+/// What one act did, before its offset is added.
+pub(crate) type Applied = Result<(), Refusal>;
+
+impl Tables {
+    /// Applies the entry at the next offset; the outcomes are in the order of its acts.
+    ///
+    /// An entry that has been applied before yields no outcomes.
+    pub fn apply(&mut self, entry: &Entry) -> Vec<Outcome> {
+        let offset = self.next;
+        self.next += 1;
+        if self.seqs.get(&entry.by).is_some_and(|last| entry.seq <= *last) {
+            return Vec::new();
+        }
+        self.seqs.insert(entry.by, entry.seq);
+        entry
+            .acts
+            .iter()
+            .map(|act| self.act(entry.by, offset, act))
+            .collect()
+    }
+
+    /// Passes over an offset whose record is not an entry.
+    pub const fn skip(&mut self) {
+        self.next += 1;
+    }
+
+    fn act(&mut self, by: Incarnation, offset: u64, act: &Act) -> Outcome {
+        if let Act::Configure {
+            who: _,
+            id,
+            version,
+            change,
+        } = act
+        {
+            return match self.writer_is_live(by) {
+                Ok(()) => self.configure(offset, id, *version, change),
+                Err(refusal) => Outcome::Void(refusal),
+            };
+        }
+        match self.plain_act(by, offset, act) {
+            Ok(()) => Outcome::Applied(offset),
+            Err(refusal) => Outcome::Void(refusal),
+        }
+    }
+
+    fn plain_act(&mut self, by: Incarnation, offset: u64, act: &Act) -> Applied {
+        if let Act::Join {
+            host,
+            peer,
+            admin,
+            zone,
+        } = act
+        {
+            self.join(by, Member::new(host, peer, admin, zone, offset));
+            return Ok(());
+        }
+        self.writer_is_live(by)?;
+        match act {
+            Act::Join { .. } | Act::Configure { .. } | Act::Checkpoint { .. } => Ok(()),
+            Act::Fence { inc } => self.set_state(offset, *inc, MemberState::Live, MemberState::Fencing),
+            Act::Fenced { inc } => self.set_state(offset, *inc, MemberState::Fencing, MemberState::Fenced),
+            Act::Leave => self.set_state(offset, by, MemberState::Live, MemberState::Fenced),
+            Act::Settle { about, net } => self.settle(by, *about, net),
+            Act::Reclaim { dead, running } => self.reclaim(dead, running),
+            Act::Release { tasks } => self.release(tasks),
+            Act::Take(units) => self.take(by, units),
+            Act::GiveBack(units) => self.give_back(by, units),
+            Act::Health { host, down } => self.set_health(host, *down),
+            Act::JobAccept {
+                job,
+                team,
+                queue,
+                path,
+                body,
+                rerun,
+            } => self.accept_job(
+                job,
+                Job {
+                    rerun: *rerun,
+                    ..Job::new(team, queue, path, body)
+                },
+            ),
+            Act::JobClaim {
+                job,
+                attempt,
+                worker,
+                boot,
+            } => {
+                let phase = JobPhase::Claimed {
+                    by,
+                    worker: worker.clone(),
+                    boot: *boot,
+                };
+                self.claim_job(job, *attempt, phase)
+            }
+            Act::JobRelease { job, attempt, bad } => self.release_job(job, *attempt, *bad),
+            Act::JobEnd { job, outcome } => self.end_job(job, outcome),
+            Act::JobCancel { jobs } => self.cancel_jobs(jobs),
+        }
+    }
+
+    fn writer_is_live(&self, by: Incarnation) -> Applied {
+        match self.members.get(&by) {
+            Some(m) if m.state == MemberState::Live => Ok(()),
+            _ => Err(Refusal::Fenced),
+        }
+    }
+
+    /// A process at the same peer address proves that the earlier one is gone.
+    fn join(&mut self, by: Incarnation, member: Member) {
+        for earlier in self.members.values_mut().filter(|m| m.peer == member.peer) {
+            earlier.state = MemberState::Fenced;
+            earlier.since = member.joined;
+        }
+        self.members.insert(by, member);
+    }
+
+    fn set_state(&mut self, offset: u64, inc: Incarnation, from: MemberState, to: MemberState) -> Applied {
+        let member = self
+            .members
+            .get_mut(&inc)
+            .ok_or_else(|| Refusal::Missing(format!("member {inc}")))?;
+        if member.state != from {
+            return Err(Refusal::State(format!("member {inc} is not {from:?}")));
+        }
+        member.state = to;
+        member.since = offset;
+        Ok(())
+    }
+
+    fn settle(&mut self, by: Incarnation, about: Incarnation, net: &[TeamUnits]) -> Applied {
+        let member = self
+            .members
+            .get_mut(&about)
+            .ok_or_else(|| Refusal::Missing(format!("member {about}")))?;
+        if member.state == MemberState::Live {
+            return Err(Refusal::State(format!("member {about} is live")));
+        }
+        if !member.settled.insert(by) {
+            return Err(Refusal::State(format!("member {by} has settled with {about}")));
+        }
+        for units in net {
+            if let Some(team) = self.teams.get_mut(&units.team) {
+                team.ledger.settle(by, about, units.units);
+            }
+        }
+        Ok(())
+    }
+
+    fn reclaim(&mut self, dead: &[Incarnation], running: &[KeptTask]) -> Applied {
+        if dead != self.dead() || !self.all_settled() {
+            return Err(Refusal::State(
+                "other members are shut out or have not settled".into(),
+            ));
+        }
+        for team in self.teams.values_mut() {
+            team.ledger.reclaim(dead);
+        }
+        for task in running {
+            self.keep(task);
+        }
+        for inc in dead {
+            self.members.remove(inc);
+        }
+        Ok(())
+    }
+
+    fn keep(&mut self, task: &KeptTask) {
+        if let Some(team) = self.teams.get_mut(&task.team) {
+            team.ledger.kept += 1;
+            self.kept.insert(task.id.clone(), task.clone());
+        }
+    }
+
+    fn release(&mut self, tasks: &[String]) -> Applied {
+        for id in tasks {
+            let Some(task) = self.kept.remove(id) else {
+                continue;
+            };
+            if let Some(team) = self.teams.get_mut(&task.team) {
+                team.ledger.kept -= 1;
+            }
+        }
+        Ok(())
+    }
+
+    fn take(&mut self, by: Incarnation, units: &TeamUnits) -> Applied {
+        let team = self
+            .teams
+            .get_mut(&units.team)
+            .ok_or_else(|| Refusal::Missing(units.team.clone()))?;
+        team.ledger.take(by, units.units);
+        Ok(())
+    }
+
+    fn give_back(&mut self, by: Incarnation, units: &TeamUnits) -> Applied {
+        let team = self
+            .teams
+            .get_mut(&units.team)
+            .ok_or_else(|| Refusal::Missing(units.team.clone()))?;
+        team.ledger.give_back(by, units.units);
+        Ok(())
+    }
+
+    fn set_health(&mut self, name: &str, down: bool) -> Applied {
+        let host = self
+            .hosts
+            .get_mut(name)
+            .ok_or_else(|| Refusal::Missing(format!("host {name}")))?;
+        host.down = down;
+        Ok(())
+    }
+
+    fn accept_job(&mut self, id: &str, job: Job) -> Applied {
+        if self.jobs.contains_key(id) {
+            return Err(Refusal::State(format!("job {id} is accepted already")));
+        }
+        self.jobs.insert(id.to_owned(), job);
+        Ok(())
+    }
+
+    fn claim_job(&mut self, id: &str, attempt: u32, phase: JobPhase) -> Applied {
+        let job = self
+            .jobs
+            .get_mut(id)
+            .ok_or_else(|| Refusal::Missing(format!("job {id}")))?;
+        if job.phase != JobPhase::Accepted || job.cancelled || attempt != job.attempt + 1 {
+            return Err(Refusal::State(format!(
+                "job {id} is not free for attempt {attempt}"
+            )));
+        }
+        job.attempt = attempt;
+        job.phase = phase;
+        Ok(())
+    }
+
+    fn release_job(&mut self, id: &str, attempt: u32, bad: bool) -> Applied {
+        let job = self
+            .jobs
+            .get_mut(id)
+            .ok_or_else(|| Refusal::Missing(format!("job {id}")))?;
+        let JobPhase::Claimed { worker, .. } = &job.phase else {
+            return Err(Refusal::State(format!("job {id} is not claimed")));
+        };
+        if attempt != job.attempt {
+            return Err(Refusal::State(format!("job {id} is at attempt {}", job.attempt)));
+        }
+        if bad {
+            job.tried.insert(worker.clone());
+        }
+        job.phase = JobPhase::Accepted;
+        Ok(())
+    }
+
+    fn end_job(&mut self, id: &str, outcome: &JobOutcome) -> Applied {
+        let job = self
+            .jobs
+            .get_mut(id)
+            .ok_or_else(|| Refusal::Missing(format!("job {id}")))?;
+        if matches!(job.phase, JobPhase::Ended(_)) {
+            return Err(Refusal::State(format!("job {id} has ended")));
+        }
+        job.phase = JobPhase::Ended(outcome.clone());
+        Ok(())
+    }
+
+    fn cancel_jobs(&mut self, ids: &[String]) -> Applied {
+        for id in ids {
+            let Some(job) = self.jobs.get_mut(id) else {
+                continue;
+            };
+            job.cancelled = true;
+            if job.phase == JobPhase::Accepted {
+                job.phase = JobPhase::Ended(JobOutcome::Cancelled);
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Member {
+    fn new(host: &str, peer: &str, admin: &str, zone: &str, joined: u64) -> Self {
+        Self {
+            host: host.to_owned(),
+            peer: peer.to_owned(),
+            admin: admin.to_owned(),
+            zone: zone.to_owned(),
+            joined,
+            state: MemberState::Live,
+            since: joined,
+            settled: std::collections::BTreeSet::new(),
+        }
+    }
+}
+
+impl Job {
+    fn new(team: &str, queue: &str, path: &str, body: &str) -> Self {
+        Self {
+            team: team.to_owned(),
+            queue: queue.to_owned(),
+            path: path.to_owned(),
+            body: body.to_owned(),
+            attempt: 0,
+            tried: std::collections::BTreeSet::new(),
+            phase: JobPhase::Accepted,
+            rerun: false,
+            cancelled: false,
+        }
+    }
+}
--- /dev/null
+++ b/components/lang/tests/lines.rs
@@ -0,0 +1,81 @@
+//! Lines and their faults.
+
+use fold::{Change, Place};
+use googletest::prelude::*;
+use lang::{Command, Query, Statement, Wanted, parse};
+use proptest::prelude::{ProptestConfig, proptest};
+
+fn command(wanted: Wanted) -> Command {
+    Command {
+        wanted,
+        version: None,
+        id: None,
+        dry: false,
+    }
+}
+
+#[gtest]
+fn can_read_a_query() {
+    expect_eq!(parse("show teams").unwrap(), Statement::Query(Query::Teams));
+}
+
+#[gtest]
+fn can_read_a_command_with_conditions() {
+    let zone = Wanted::Change(Change::TakeOut(Place::Zone("z1".into())));
+    let wanted = Command {
+        version: Some(4),
+        id: Some("a-1".into()),
+        dry: true,
+        ..command(zone)
+    };
+    expect_eq!(
+        parse("take out zone z1 if version 4 dry run id a-1").unwrap(),
+        Statement::Command(wanted)
+    );
+}
+
+#[gtest]
+fn can_read_an_open_queue() {
+    let queue = Change::Queue {
+        name: "q".into(),
+        pool: "p".into(),
+        open: Some("t".into()),
+    };
+    expect_eq!(
+        parse("set queue q pool p open team t").unwrap(),
+        Statement::Command(command(Wanted::Change(queue)))
+    );
+}
+
+#[gtest]
+fn errors_on_the_word_that_is_wrong() {
+    let fault = parse("take out zone z/1").unwrap_err();
+    expect_eq!(fault.place, 4);
+    expect_that!(
+        fault.to_string(),
+        contains_substring("word 4: found `z/1`, expected a zone name")
+    );
+    expect_that!(
+        parse("set team t share 1").unwrap_err().to_string(),
+        contains_substring("found the end, expected `limit`")
+    );
+    expect_that!(parse("set team t share 1 limit -3").unwrap_err().place, eq(7));
+}
+
+#[gtest]
+fn never_prints_a_secret() {
+    let statement = parse("grant key k secret hush team t").unwrap();
+    expect_that!(format!("{statement:?}"), not(contains_substring("hush")));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(13), ..ProptestConfig::default() })]
+
+    #[test]
+    fn names_a_fault_for_malformed_lines(line in "((show|set|take|out|zone|pool|team|if|version|dry) ?){0,6}[ -~]{0,20}") {
+        if let Err(fault) = parse(&line) {
+            assert_that!(fault.expected, not(eq("")));
+            assert_that!(fault.place, gt(0));
+        }
+    }
+}
--- /dev/null
+++ b/components/policy/src/share.rs
@@ -0,0 +1,86 @@
+//! Shares of teams when the fleet is full.
+
+/// A team that may go next.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Claimant {
+    /// Weight of its share.
+    pub share: f64,
+    /// Tasks running fleet-wide.
+    pub running: f64,
+    /// Recent usage in average running tasks, decayed.
+    pub usage: f64,
+    /// True if it waits on this host and may start.
+    pub ready: bool,
+    /// True if it waits on another host.
+    pub elsewhere: bool,
+}
+
+/// What to do with a free slot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Pick {
+    /// Start the team with this index.
+    Start(usize),
+    /// Leave the slot to another host, where a team further below its share waits.
+    Yield,
+    /// Nobody waits here.
+    Idle,
+}
+
+/// Weight of recent usage against tasks running now.
+const USAGE_WEIGHT: f64 = 0.5;
+/// How far below its share, relatively, a team elsewhere must be for this host to leave it a slot.
+const YIELD_MARGIN: f64 = 0.8;
+
+impl Claimant {
+    fn level(&self) -> f64 {
+        (self.running + USAGE_WEIGHT * self.usage) / self.share.max(f64::MIN_POSITIVE)
+    }
+}
+
+/// Chooses the waiting team that is furthest below its share.
+#[must_use]
+pub fn pick(teams: &[Claimant]) -> Pick {
+    let lowest = |wanted: fn(&Claimant) -> bool| {
+        let waiting = teams.iter().enumerate().filter(|(_, t)| wanted(t));
+        waiting.min_by(|a, b| a.1.level().total_cmp(&b.1.level()))
+    };
+    let Some((index, here)) = lowest(|t| t.ready) else {
+        return Pick::Idle;
+    };
+    match lowest(|t| t.elsewhere && !t.ready) {
+        Some((_, there)) if there.level() < YIELD_MARGIN * here.level() => Pick::Yield,
+        _ => Pick::Start(index),
+    }
+}
+
+/// Weighted max-min fair parts of a capacity, none above its demand.
+#[must_use]
+pub fn max_min(capacity: f64, shares: &[f64], demands: &[f64]) -> Vec<f64> {
+    let mut parts = vec![0.0; shares.len()];
+    let mut open: Vec<usize> = (0..shares.len()).collect();
+    let mut left = capacity;
+    while !open.is_empty() && left > f64::EPSILON {
+        let weight: f64 = open.iter().map(|i| shares[*i]).sum();
+        let rate = left / weight;
+        let (full, rest): (Vec<usize>, Vec<usize>) =
+            open.iter().partition(|i| demands[**i] <= rate * shares[**i]);
+        if full.is_empty() {
+            rest.iter().for_each(|i| parts[*i] = rate * shares[*i]);
+            break;
+        }
+        for i in &full {
+            parts[*i] = demands[*i];
+            left -= demands[*i];
+        }
+        open = rest;
+    }
+    parts
+}
+
+/// Mean distance of what ran from the fair parts, as a fraction of the whole; 0 is fair.
+#[must_use]
+pub fn distance(ran: &[f64], fair: &[f64]) -> f64 {
+    let whole: f64 = fair.iter().sum();
+    let off: f64 = ran.iter().zip(fair).map(|(r, f)| (r - f).abs()).sum();
+    if whole > 0.0 { off / (2.0 * whole) } else { 0.0 }
+}
--- /dev/null
+++ b/components/standin/src/log.rs
@@ -0,0 +1,123 @@
+//! Stand-in for the platform's append-only log.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use edge::{LogEntry, LogPage};
+use parking_lot::Mutex;
+use poem::http::StatusCode;
+use poem::web::{Data, Json, Query};
+use poem::{EndpointExt, IntoEndpoint, Route, get, handler, post};
+use serde::{Deserialize, Serialize};
+
+/// How the log misbehaves.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Misbehaviour {
+    /// Refuses every call.
+    pub down: bool,
+    /// Takes appends but loses their answers.
+    pub lose_answers: bool,
+    /// Delay before every answer, in ms.
+    pub delay_ms: u64,
+}
+
+/// In-memory log.
+#[derive(Debug, Default)]
+pub struct Store {
+    entries: Mutex<Vec<LogEntry>>,
+    horizon: Mutex<u64>,
+    state: Mutex<Misbehaviour>,
+}
+
+impl Store {
+    /// Appends a record and returns its offset.
+    pub fn append(&self, data: String) -> u64 {
+        let mut entries = self.entries.lock();
+        let offset = entries.len() as u64;
+        entries.push(LogEntry { offset, data });
+        offset
+    }
+
+    /// Reads records from an offset on.
+    #[must_use]
+    pub fn read(&self, from: u64, max: usize) -> LogPage {
+        let entries = self.entries.lock();
+        let horizon = *self.horizon.lock();
+        let start = usize::try_from(from.max(horizon)).unwrap_or(usize::MAX);
+        let found = entries.iter().skip(start).take(max).cloned().collect();
+        LogPage {
+            entries: found,
+            horizon,
+            tail: entries.len() as u64,
+        }
+    }
+
+    /// Forgets everything before an offset.
+    pub fn trim(&self, horizon: u64) {
+        *self.horizon.lock() = horizon;
+    }
+
+    /// Sets how the log misbehaves.
+    pub fn misbehave(&self, state: Misbehaviour) {
+        *self.state.lock() = state;
+    }
+}
+
+#[derive(Debug, Deserialize)]
+struct ReadQuery {
+    from: u64,
+    max: usize,
+}
+
+#[derive(Debug, Deserialize)]
+struct TrimQuery {
+    horizon: u64,
+}
+
+/// The log as an HTTP application.
+pub fn app(store: Arc<Store>) -> impl IntoEndpoint {
+    Route::new()
+        .at("/append", post(append_record))
+        .at("/read", get(read_page))
+        .at("/trim", post(trim_log))
+        .at("/misbehave", post(set_misbehaviour))
+        .data(store)
+}
+
+#[handler]
+async fn append_record(store: Data<&Arc<Store>>, data: String) -> poem::Result<Json<u64>> {
+    let state = pause(&store).await?;
+    let offset = store.append(data);
+    if state.lose_answers {
+        return Err(StatusCode::GATEWAY_TIMEOUT.into());
+    }
+    Ok(Json(offset))
+}
+
+#[handler]
+async fn read_page(store: Data<&Arc<Store>>, Query(query): Query<ReadQuery>) -> poem::Result<Json<LogPage>> {
+    pause(&store).await?;
+    Ok(Json(store.read(query.from, query.max)))
+}
+
+#[handler]
+fn trim_log(store: Data<&Arc<Store>>, Query(query): Query<TrimQuery>) {
+    store.trim(query.horizon);
+}
+
+#[handler]
+fn set_misbehaviour(store: Data<&Arc<Store>>, Json(state): Json<Misbehaviour>) {
+    store.misbehave(state);
+}
+
+async fn pause(store: &Store) -> poem::Result<Misbehaviour> {
+    let state = *store.state.lock();
+    if state.delay_ms > 0 {
+        tokio::time::sleep(Duration::from_millis(state.delay_ms)).await;
+    }
+    if state.down {
+        return Err(StatusCode::SERVICE_UNAVAILABLE.into());
+    }
+    Ok(state)
+}
--- /dev/null
+++ b/components/standin/src/worker.rs
@@ -0,0 +1,337 @@
+//! Stand-in for a worker host.
+//!
+//! The path's query tells how long a task works (`work_ms`) and whether it fails (`fail`). The answer repeats
+//! the body, so that a caller can check that it is its own.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use edge::{
+    Incarnation, LeasedTask, RUNNING_HEADER, TASK_HEADER, TaskState, Usage, VERDICT_HEADER, Verdict, wall_ms,
+};
+use parking_lot::Mutex;
+use poem::http::StatusCode;
+use poem::web::{Data, Json, Query};
+use poem::{EndpointExt, IntoEndpoint, Request, Response, Route, get, handler, post};
+use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
+
+/// How a worker misbehaves.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Mood {
+    /// It works.
+    #[default]
+    Well,
+    /// It fails every task that it starts.
+    Failing,
+    /// It runs tasks but loses their answers.
+    LosingAnswers,
+}
+
+/// One task that the worker started.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// Task id.
+    pub id: String,
+    /// Team that is charged.
+    pub team: String,
+    /// Lease it runs under.
+    pub lease: Incarnation,
+    /// Caller's body.
+    pub body: String,
+    /// Start, in ms since the Unix epoch.
+    pub started: u64,
+    /// End, in ms since the Unix epoch; 0 while it runs.
+    pub ended: u64,
+}
+
+/// Shared state of one worker.
+#[derive(Debug)]
+pub struct Store {
+    boot: u64,
+    slots: u32,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    tasks: HashMap<String, TaskState>,
+    stops: HashMap<String, Arc<Notify>>,
+    revoked: HashSet<Incarnation>,
+    records: Vec<Record>,
+    index: HashMap<String, usize>,
+    running: u32,
+    mood: Mood,
+}
+
+enum Admit {
+    Run(Arc<Notify>),
+    Refuse(&'static str),
+}
+
+struct Order {
+    id: String,
+    team: String,
+    lease: Incarnation,
+    boot: u64,
+    not_after: u64,
+    body: String,
+}
+
+#[derive(Debug, Deserialize)]
+struct Work {
+    #[serde(default)]
+    work_ms: u64,
+    #[serde(default)]
+    fail: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct ById {
+    id: String,
+}
+
+#[derive(Debug, Deserialize)]
+struct ByLease {
+    lease: Incarnation,
+}
+
+impl Store {
+    /// A worker with a number of slots.
+    #[must_use]
+    pub fn new(slots: u32) -> Self {
+        Self {
+            boot: wall_ms(),
+            slots,
+            inner: Mutex::default(),
+        }
+    }
+
+    /// Everything it has started.
+    #[must_use]
+    pub fn records(&self) -> Vec<Record> {
+        self.inner.lock().records.clone()
+    }
+
+    fn admit(&self, order: &Order) -> Admit {
+        let mut inner = self.inner.lock();
+        if inner.tasks.contains_key(&order.id) {
+            return Admit::Refuse("task id has been seen");
+        }
+        if inner.revoked.contains(&order.lease) {
+            return Admit::Refuse("lease is revoked");
+        }
+        if order.boot != self.boot {
+            return Admit::Refuse("worker has restarted");
+        }
+        if wall_ms() > order.not_after {
+            return Admit::Refuse("start deadline has passed");
+        }
+        if inner.running >= self.slots {
+            return Admit::Refuse("no slot is free");
+        }
+        let stop = Arc::new(Notify::new());
+        inner.begin(order, Arc::clone(&stop));
+        Admit::Run(stop)
+    }
+
+    fn finish(&self, id: &str, state: TaskState) -> u32 {
+        let mut inner = self.inner.lock();
+        inner.running -= 1;
+        inner.stops.remove(id);
+        if let Some(index) = inner.index.get(id).copied() {
+            inner.records[index].ended = wall_ms();
+        }
+        inner.tasks.insert(id.to_owned(), state);
+        inner.running
+    }
+
+    async fn run(&self, order: &Order, work: &Work, stop: &Notify) -> TaskState {
+        let failing = self.inner.lock().mood == Mood::Failing;
+        let state = tokio::select! {
+            () = tokio::time::sleep(Duration::from_millis(work.work_ms)) => ended(order, work.fail || failing),
+            () = stop.notified() => TaskState::Stopped,
+        };
+        self.finish(&order.id, state.clone());
+        state
+    }
+}
+
+impl Inner {
+    fn begin(&mut self, order: &Order, stop: Arc<Notify>) {
+        self.running += 1;
+        self.tasks.insert(order.id.clone(), TaskState::Running);
+        self.stops.insert(order.id.clone(), stop);
+        self.index.insert(order.id.clone(), self.records.len());
+        self.records.push(Record {
+            id: order.id.clone(),
+            team: order.team.clone(),
+            lease: order.lease,
+            body: order.body.clone(),
+            started: wall_ms(),
+            ended: 0,
+        });
+    }
+
+    /// Makes an id that has not been seen be refused from now on.
+    fn bar(&mut self, id: String) -> TaskState {
+        self.tasks.entry(id).or_insert(TaskState::Barred).clone()
+    }
+}
+
+fn ended(order: &Order, fail: bool) -> TaskState {
+    let status = if fail {
+        StatusCode::INTERNAL_SERVER_ERROR
+    } else {
+        StatusCode::OK
+    };
+    TaskState::Ended {
+        status: status.as_u16(),
+        body: format!("done {}", order.body),
+    }
+}
+
+/// The worker as an HTTP application.
+pub fn app(store: Arc<Store>) -> impl IntoEndpoint {
+    Route::new()
+        .at("/start/*path", post(start_task))
+        .at("/status", get(get_status))
+        .at("/bar", post(bar_task))
+        .at("/stop", post(stop_task))
+        .at("/revoke", post(revoke_lease))
+        .at("/usage", get(get_usage))
+        .at("/record", get(get_records))
+        .at("/mood", post(set_mood))
+        .data(store)
+}
+
+#[handler]
+async fn start_task(
+    store: Data<&Arc<Store>>,
+    request: &Request,
+    Query(work): Query<Work>,
+    body: String,
+) -> poem::Result<Response> {
+    let order = read_order(request, body)?;
+    let job = request.header("x-kind") == Some("job");
+    let stop = match store.admit(&order) {
+        Admit::Run(stop) => stop,
+        Admit::Refuse(reason) => return Ok(refusal(reason)),
+    };
+    let store = Arc::clone(&store);
+    let id = order.id.clone();
+    let task = {
+        let store = Arc::clone(&store);
+        tokio::spawn(async move { store.run(&order, &work, &stop).await })
+    };
+    if job {
+        return Ok(answer(&store, &id, StatusCode::ACCEPTED, String::new()));
+    }
+    let state = task.await.map_err(poem::error::InternalServerError)?;
+    if store.inner.lock().mood == Mood::LosingAnswers {
+        std::future::pending::<()>().await;
+    }
+    Ok(match state {
+        TaskState::Ended { status, body } => answer(
+            &store,
+            &id,
+            StatusCode::from_u16(status).unwrap_or(StatusCode::OK),
+            body,
+        ),
+        _ => answer(&store, &id, StatusCode::GONE, "stopped".into()),
+    })
+}
+
+fn read_order(request: &Request, body: String) -> poem::Result<Order> {
+    let text = |name: &str| request.header(name).unwrap_or_default().to_owned();
+    let number = |name: &str| {
+        text(name)
+            .parse::<u64>()
+            .map_err(|_| poem::Error::from(StatusCode::BAD_REQUEST))
+    };
+    Ok(Order {
+        id: text(TASK_HEADER),
+        team: text("x-team"),
+        lease: number("x-lease")?,
+        boot: number("x-boot")?,
+        not_after: number("x-not-after")?,
+        body,
+    })
+}
+
+fn refusal(reason: &str) -> Response {
+    Response::builder()
+        .status(StatusCode::CONFLICT)
+        .header(VERDICT_HEADER, Verdict::NotRun.as_str())
+        .body(reason.to_owned())
+}
+
+fn answer(store: &Store, id: &str, status: StatusCode, body: String) -> Response {
+    let running = store.inner.lock().running;
+    Response::builder()
+        .status(status)
+        .header(TASK_HEADER, id)
+        .header(RUNNING_HEADER, running.to_string())
+        .header(VERDICT_HEADER, Verdict::Ran.as_str())
+        .body(body)
+}
+
+#[handler]
+fn get_status(store: Data<&Arc<Store>>, Query(query): Query<ById>) -> Json<TaskState> {
+    let inner = store.inner.lock();
+    Json(inner.tasks.get(&query.id).cloned().unwrap_or(TaskState::Unseen))
+}
+
+#[handler]
+fn bar_task(store: Data<&Arc<Store>>, Query(query): Query<ById>) -> Json<TaskState> {
+    Json(store.inner.lock().bar(query.id))
+}
+
+#[handler]
+fn stop_task(store: Data<&Arc<Store>>, Query(query): Query<ById>) -> Json<TaskState> {
+    let mut inner = store.inner.lock();
+    if let Some(stop) = inner.stops.get(&query.id) {
+        stop.notify_one();
+    }
+    Json(inner.bar(query.id))
+}
+
+#[handler]
+fn revoke_lease(store: Data<&Arc<Store>>, Query(query): Query<ByLease>) -> Json<Vec<LeasedTask>> {
+    let mut inner = store.inner.lock();
+    inner.revoked.insert(query.lease);
+    let running = inner
+        .records
+        .iter()
+        .filter(|r| r.lease == query.lease && r.ended == 0);
+    Json(
+        running
+            .map(|r| LeasedTask {
+                id: r.id.clone(),
+                team: r.team.clone(),
+            })
+            .collect(),
+    )
+}
+
+#[handler]
+fn get_usage(store: Data<&Arc<Store>>) -> Json<Usage> {
+    let running = store.inner.lock().running;
+    Json(Usage {
+        boot: store.boot,
+        running,
+        slots: store.slots,
+    })
+}
+
+#[handler]
+fn get_records(store: Data<&Arc<Store>>) -> Json<Vec<Record>> {
+    Json(store.records())
+}
+
+#[handler]
+fn set_mood(store: Data<&Arc<Store>>, Json(mood): Json<Mood>) {
+    store.inner.lock().mood = mood;
+}
--- /dev/null
+++ b/components/trial/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder until its first use.
--- /dev/null
+++ b/components/wire/src/message.rs
@@ -0,0 +1,236 @@
+//! Message types, written with prost's derive so that the build needs no generator.
+
+use prost::{Message, Oneof};
+
+/// One frame.
+#[derive(Clone, PartialEq, Message)]
+pub struct Envelope {
+    /// Matches a reply to its request.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// Sender's hybrid logical clock.
+    #[prost(uint64, tag = "2")]
+    pub clock: u64,
+    /// Content.
+    #[prost(oneof = "Body", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    pub body: Option<Body>,
+}
+
+/// Content of a frame.
+#[derive(Clone, PartialEq, Oneof)]
+pub enum Body {
+    /// First frame of the dialer.
+    #[prost(message, tag = "3")]
+    Hello(Hello),
+    /// Reply of the acceptor.
+    #[prost(message, tag = "4")]
+    Challenge(Challenge),
+    /// Last frame of the handshake.
+    #[prost(message, tag = "5")]
+    Proof(Proof),
+    /// Heartbeat; the reply is one too.
+    #[prost(message, tag = "6")]
+    Beat(Beat),
+    /// A claim is offered.
+    #[prost(message, tag = "7")]
+    Claim(ClaimMessage),
+    /// Reply to an offer.
+    #[prost(message, tag = "8")]
+    ClaimReply(ClaimReply),
+    /// Asks for log entries that the peer has applied.
+    #[prost(message, tag = "9")]
+    FetchEntries(FetchEntries),
+    /// Reply with log entries.
+    #[prost(message, tag = "10")]
+    LogEntries(LogEntries),
+    /// Asks for stored claims.
+    #[prost(message, tag = "11")]
+    CopyClaims(CopyClaims),
+    /// Reply with stored claims.
+    #[prost(message, tag = "12")]
+    Claims(Claims),
+}
+
+/// First frame of the dialer.
+#[derive(Clone, PartialEq, Message)]
+pub struct Hello {
+    /// Protocol version.
+    #[prost(uint32, tag = "1")]
+    pub version: u32,
+    /// Dialer's incarnation.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// Random bytes.
+    #[prost(bytes = "vec", tag = "3")]
+    pub nonce: Vec<u8>,
+}
+
+/// Reply of the acceptor.
+#[derive(Clone, PartialEq, Message)]
+pub struct Challenge {
+    /// Acceptor's incarnation.
+    #[prost(uint64, tag = "1")]
+    pub incarnation: u64,
+    /// Random bytes.
+    #[prost(bytes = "vec", tag = "2")]
+    pub nonce: Vec<u8>,
+    /// Keyed digest over both sides.
+    #[prost(bytes = "vec", tag = "3")]
+    pub digest: Vec<u8>,
+}
+
+/// Last frame of the handshake.
+#[derive(Clone, PartialEq, Message)]
+pub struct Proof {
+    /// Keyed digest over both sides.
+    #[prost(bytes = "vec", tag = "1")]
+    pub digest: Vec<u8>,
+}
+
+/// Heartbeat.
+#[derive(Clone, PartialEq, Message)]
+pub struct Beat {
+    /// Sender's incarnation.
+    #[prost(uint64, tag = "1")]
+    pub incarnation: u64,
+    /// Offset of the next entry that the sender will apply.
+    #[prost(uint64, tag = "2")]
+    pub applied: u64,
+    /// Units given to the receiver so far.
+    #[prost(message, repeated, tag = "3")]
+    pub given: Vec<Given>,
+    /// Units that the sender lacks.
+    #[prost(message, repeated, tag = "4")]
+    pub needs: Vec<Need>,
+    /// Tasks running for each team.
+    #[prost(message, repeated, tag = "5")]
+    pub running: Vec<Running>,
+    /// True once the sender takes nothing new.
+    #[prost(bool, tag = "6")]
+    pub leaving: bool,
+    /// True once the sender has copied the claims of a majority.
+    #[prost(bool, tag = "7")]
+    pub synced: bool,
+    /// Incarnations that the sender has heard from lately.
+    #[prost(uint64, repeated, tag = "8")]
+    pub heard: Vec<u64>,
+}
+
+/// Cumulative units of one team given to one peer.
+#[derive(Clone, PartialEq, Message)]
+pub struct Given {
+    /// Team name.
+    #[prost(string, tag = "1")]
+    pub team: String,
+    /// Counter that only rises.
+    #[prost(int64, tag = "2")]
+    pub counter: i64,
+}
+
+/// Units of one team that a host lacks.
+#[derive(Clone, PartialEq, Message)]
+pub struct Need {
+    /// Team name.
+    #[prost(string, tag = "1")]
+    pub team: String,
+    /// How many.
+    #[prost(int64, tag = "2")]
+    pub units: i64,
+}
+
+/// Tasks of one team running through a host.
+#[derive(Clone, PartialEq, Message)]
+pub struct Running {
+    /// Team name.
+    #[prost(string, tag = "1")]
+    pub team: String,
+    /// How many run now.
+    #[prost(int64, tag = "2")]
+    pub tasks: i64,
+    /// How many wait now.
+    #[prost(int64, tag = "3")]
+    pub waiting: i64,
+}
+
+/// A claim on a request id.
+#[derive(Clone, PartialEq, Message)]
+pub struct ClaimMessage {
+    /// Request id.
+    #[prost(string, tag = "1")]
+    pub request: String,
+    /// Round.
+    #[prost(uint32, tag = "2")]
+    pub round: u32,
+    /// Claimant.
+    #[prost(uint64, tag = "3")]
+    pub owner: u64,
+    /// Worker name.
+    #[prost(string, tag = "4")]
+    pub worker: String,
+    /// Worker's boot.
+    #[prost(uint64, tag = "5")]
+    pub boot: u64,
+}
+
+/// Reply to an offered claim.
+#[derive(Clone, PartialEq, Message)]
+pub struct ClaimReply {
+    /// True if the claim is stored.
+    #[prost(bool, tag = "1")]
+    pub granted: bool,
+    /// True if the member cannot vote yet.
+    #[prost(bool, tag = "2")]
+    pub silent: bool,
+    /// Other claims on the id.
+    #[prost(message, repeated, tag = "3")]
+    pub others: Vec<ClaimMessage>,
+}
+
+/// Asks for log entries.
+#[derive(Clone, PartialEq, Message)]
+pub struct FetchEntries {
+    /// First offset wanted.
+    #[prost(uint64, tag = "1")]
+    pub from: u64,
+}
+
+/// Log entries in order.
+#[derive(Clone, PartialEq, Message)]
+pub struct LogEntries {
+    /// Entries; empty if the first one is not kept.
+    #[prost(message, repeated, tag = "1")]
+    pub entries: Vec<RawEntry>,
+}
+
+/// One log entry as it stands on the log.
+#[derive(Clone, PartialEq, Message)]
+pub struct RawEntry {
+    /// Offset.
+    #[prost(uint64, tag = "1")]
+    pub offset: u64,
+    /// Record as text.
+    #[prost(string, tag = "2")]
+    pub data: String,
+}
+
+/// Asks for stored claims.
+#[derive(Clone, PartialEq, Message)]
+pub struct CopyClaims {
+    /// Number of claims to pass over.
+    #[prost(uint64, tag = "1")]
+    pub skip: u64,
+}
+
+/// Stored claims.
+#[derive(Clone, PartialEq, Message)]
+pub struct Claims {
+    /// Claims, oldest first.
+    #[prost(message, repeated, tag = "1")]
+    pub claims: Vec<ClaimMessage>,
+    /// True if there are no more.
+    #[prost(bool, tag = "2")]
+    pub last: bool,
+    /// False if the member has never voted.
+    #[prost(bool, tag = "3")]
+    pub synced: bool,
+}
--- /dev/null
+++ b/src/cmd/check.rs
@@ -0,0 +1,16 @@
+//! `check`: names every fault in a settings file.
+
+use super::Error;
+use crate::cli::Check;
+
+/// Checks a settings file.
+pub fn run(flags: &Check) -> Result<(), Error> {
+    let settings = super::read_settings(&flags.settings)?;
+    println!(
+        "{} is accepted: entry host {} in zone {}",
+        flags.settings.display(),
+        settings.name,
+        settings.zone
+    );
+    Ok(())
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,97 @@
+//! Commands, one file each.
+
+mod check;
+mod ctl;
+mod demo;
+mod serve;
+mod standin;
+mod timeline;
+
+use std::path::{Path, PathBuf};
+
+use crate::cli::LagoonrelayCmd;
+
+/// Why a command failed.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A file cannot be read.
+    #[error("cannot read {}: {source}", path.display())]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// Settings are wrong.
+    #[error("{} is not accepted:\n{}", path.display(), list(faults))]
+    Settings {
+        /// The file.
+        path: PathBuf,
+        /// All faults.
+        faults: Vec<config::Fault>,
+    },
+    /// The entry host stopped.
+    #[error(transparent)]
+    Entry(#[from] entry::Error),
+    /// Input or output failed.
+    #[error(transparent)]
+    Io(#[from] std::io::Error),
+    /// Another host did not answer.
+    #[error("{0}")]
+    Edge(#[from] edge::Fault),
+    /// A command was refused, or its arguments are wrong.
+    #[error("{0}")]
+    Refused(String),
+}
+
+impl Error {
+    /// Exit code: 2 for wrong settings, 3 if shut out or behind, else 1.
+    pub const fn code(&self) -> u8 {
+        match self {
+            Self::Settings { .. } => 2,
+            Self::Entry(entry::Error::Fenced | entry::Error::Behind) => 3,
+            _ => 1,
+        }
+    }
+}
+
+/// Runs a command.
+pub fn run(command: LagoonrelayCmd) -> Result<(), Error> {
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    runtime.block_on(async {
+        match command {
+            LagoonrelayCmd::Serve(flags) => serve::run(&flags).await,
+            LagoonrelayCmd::Check(flags) => check::run(&flags),
+            LagoonrelayCmd::Ctl(flags) => ctl::run(&flags).await,
+            LagoonrelayCmd::Timeline(flags) => timeline::run(&flags).await,
+            LagoonrelayCmd::Demo(flags) => demo::run(&flags).await,
+            LagoonrelayCmd::Standin(flags) => standin::run(&flags).await,
+        }
+    })
+}
+
+/// Reads and checks a settings file.
+fn read_settings(path: &Path) -> Result<config::Settings, Error> {
+    let text = std::fs::read_to_string(path).map_err(|source| Error::Read {
+        path: path.to_owned(),
+        source,
+    })?;
+    config::parse(&text).map_err(|faults| Error::Settings {
+        path: path.to_owned(),
+        faults,
+    })
+}
+
+/// Operator key from the flag or the environment.
+fn operator_key(flag: Option<&String>) -> Result<String, Error> {
+    let key = flag.cloned().or_else(|| std::env::var("LAGOONRELAY_KEY").ok());
+    key.ok_or_else(|| Error::Refused("an operator key is needed: --key or LAGOONRELAY_KEY".into()))
+}
+
+fn list(faults: &[config::Fault]) -> String {
+    faults
+        .iter()
+        .map(|f| format!("  {f}"))
+        .collect::<Vec<_>>()
+        .join("\n")
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,19 @@
+//! lagoonrelay: shared fleet capacity and maintenance manager.
+
+mod cli;
+mod cmd;
+mod logging;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let flags = cli::Lagoonrelay::read_or_exit();
+    logging::start(flags.log_format.unwrap_or_default());
+    match cmd::run(flags.subcommand) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("lagoonrelay: {error}");
+            ExitCode::from(error.code())
+        }
+    }
+}
