Harness with real processes behind a fault-injecting proxy, and first proofs

Cause: promises were not proved. A lowered limit was answered 'accepted' while nine tasks ran above the new limit of two: the command waited for its offset only, not for the units to be given back, and freed units went to waiting work.

A lowered limit is accepted once no more units are allotted than it allows; until then the team starts nothing new. The log outage test expected 'pending' in all cases; a command that never left the host is refused, which is true too, so the test now checks that what was told holds afterwards.

--- a/components/entry/src/admit.rs
+++ b/components/entry/src/admit.rs
@@ -166,7 +166,9 @@
     /// Team of a pool whose waiter goes next.
     fn next_team(&self, pool: &str, admission: Admission) -> Option<String> {
         let queues = self.queues.pools.get(pool)?;
-        let has_unit = |team: &str| self.purses.get(team).is_some_and(|p| p.free() > 0);
+        // Units that a lowered limit takes away are given back before anything new is started.
+        let has_unit =
+            |team: &str| self.purses.get(team).is_some_and(|p| p.free() > 0) && !self.over_limit(team);
         let ready = |team: &str| queues.get(team).is_some_and(|q| !q.is_empty()) && has_unit(team);
         match admission {
             Admission::Fifo => {
--- a/components/entry/src/command.rs
+++ b/components/entry/src/command.rs
@@ -61,6 +61,10 @@
             .clone()
             .unwrap_or_else(|| format!("{:016x}", rand::random::<u64>()));
         let object = change.object();
+        let team = match &change {
+            Change::Team { name, .. } => Some(name.clone()),
+            _ => None,
+        };
         let act = Act::Configure {
             who: who.to_owned(),
             id,
@@ -91,9 +95,31 @@
             note: format!("{who}: {object}"),
             ..Event::default()
         });
+        if let Some(team) = team
+            && !self.units_burnt(&team, deadline).await
+        {
+            return Answer::Pending {
+                version: Some(version),
+                waiting: vec![format!("running tasks of team {team}")],
+            };
+        }
         self.in_force(version, deadline).await
     }
 
+    /// Waits until no more units are allotted than a team's limit allows.
+    async fn units_burnt(&self, team: &str, deadline: Instant) -> bool {
+        loop {
+            let changed = self.applied.notified();
+            if !self.state.lock().over_limit(team) {
+                return true;
+            }
+            if left(deadline) == Duration::ZERO {
+                return false;
+            }
+            let _ = tokio::time::timeout(left(deadline).min(IN_FORCE_MARGIN), changed).await;
+        }
+    }
+
     fn dry_run(&self, version: Option<u64>, change: &Change) -> Answer {
         let state = self.state.lock();
         match state.tables.check(version, change) {
@@ -200,6 +226,15 @@
 }
 
 impl State {
+    /// True while more units of a team are allotted than its limit, because the limit was lowered.
+    #[must_use]
+    pub fn over_limit(&self, team: &str) -> bool {
+        self.tables
+            .teams
+            .get(team)
+            .is_some_and(|t| t.ledger.unallotted() < 0)
+    }
+
     /// Names of members that are not known to have applied an offset.
     fn lagging(&self, offset: u64) -> Vec<String> {
         let lags = |inc: Incarnation| {
--- a/components/entry/src/peers.rs
+++ b/components/entry/src/peers.rs
@@ -4,6 +4,7 @@
 //! anew, so a link that has gone silent is found within seconds.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -11,7 +12,7 @@
 use edge::wall_ms;
 use fold::{Incarnation, MemberState};
 use parking_lot::Mutex;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 use wire::{
@@ -385,8 +386,7 @@
 }
 
 async fn dial(node: &Node, peer: Incarnation, addr: &str) -> Option<Link<TcpStream>> {
-    let stream = TcpStream::connect(addr).await.ok()?;
-    stream.set_nodelay(true).ok()?;
+    let stream = connect_from(node.settings.peer.ip(), addr).await?;
     let link = Link::dial(stream, &node.secret, node.inc).await.ok()?;
     if let Some(view) = node.state.lock().peers.get_mut(&peer) {
         view.sent.clear();
@@ -395,6 +395,21 @@
     (link.peer == peer).then_some(link)
 }
 
+/// Dials from this host's own peer address, so that the network can tell who dials.
+async fn connect_from(source: IpAddr, addr: &str) -> Option<TcpStream> {
+    let addr: SocketAddr = addr.parse().ok()?;
+    let socket = if source.is_ipv4() {
+        TcpSocket::new_v4()
+    } else {
+        TcpSocket::new_v6()
+    }
+    .ok()?;
+    socket.bind(SocketAddr::new(source, 0)).ok()?;
+    let stream = socket.connect(addr).await.ok()?;
+    stream.set_nodelay(true).ok()?;
+    Some(stream)
+}
+
 #[derive(Debug, PartialEq, Eq)]
 enum Used {
     /// The link broke or went silent.
--- /dev/null
+++ b/tests/limits.rs
@@ -0,0 +1,126 @@
+//! Upper limits hold through cuts, kills and log outages.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use googletest::prelude::*;
+use standin::log::Misbehaviour;
+use trial::caller::{Ask, Load};
+use trial::fleet::{Fleet, Plan};
+use trial::proxy::Mode;
+use trial::{check, until};
+
+const LIMIT: u32 = 5;
+const MORE: usize = 60;
+
+fn plan() -> Plan {
+    let extra = "timing: { fresh_ms: 800, dead_ms: 1600, beat_ms: 100, deadline_ms: 8000 },".into();
+    Plan {
+        extra,
+        ..Plan::new(env!("CARGO_BIN_EXE_lagoonrelay").as_ref())
+    }
+}
+
+async fn load(fleet: &Fleet, callers: usize) -> Load {
+    let addrs: Vec<String> = (0..fleet.entries.len()).map(|n| fleet.callers(n)).collect();
+    static RUN: AtomicU64 = AtomicU64::new(0);
+    let run = RUN.fetch_add(1, Ordering::SeqCst);
+    Load::start(callers, &addrs, move |n| {
+        Ask::single("a", &format!("r{run}-{n}"), 30 + n % 40)
+    })
+}
+
+async fn more(load: &Load) {
+    let from = load.ran();
+    until("more work done", || async { load.ran() >= from + MORE }).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn holds_a_limit_through_a_cut_and_a_kill() {
+    let mut fleet = Fleet::start(plan()).await;
+    fleet.set_up(&[("a", 1, LIMIT)], 2).await;
+    let load = load(&fleet, 24).await;
+    more(&load).await;
+    fleet.set_between(0, 1, Mode::Silent);
+    fleet.set_between(0, 2, Mode::Silent);
+    more(&load).await;
+    if let Some(process) = &mut fleet.entries[1].process {
+        process.kill();
+    }
+    more(&load).await;
+    fleet.set_between(0, 1, Mode::Pass);
+    fleet.set_between(0, 2, Mode::Pass);
+    more(&load).await;
+    until("the dead host's units reclaimed", || async {
+        let rows = fleet.query(0, "show members").await.unwrap_or_default();
+        rows.len() == 2
+    })
+    .await;
+    fleet.start_entry(1);
+    fleet.wait_ready(1).await;
+    more(&load).await;
+    let told = load.stop().await;
+    let records = fleet.all_records().await;
+    assert_that!(check::answers(&told, &records), is_empty());
+    assert_that!(check::most_running(&records, "a"), le(i64::from(LIMIT)));
+    assert_that!(check::most_running(&records, "a"), ge(2));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn moves_units_between_hosts_while_the_log_is_out() {
+    let fleet = Fleet::start(plan()).await;
+    fleet.set_up(&[("a", 1, 3)], 2).await;
+    let all = load(&fleet, 6).await;
+    more(&all).await;
+    fleet
+        .misbehave(Misbehaviour {
+            down: true,
+            ..Misbehaviour::default()
+        })
+        .await;
+    let mut told = all.stop().await;
+    let one = Load::start(6, &[fleet.callers(1)], |n| {
+        Ask::single("a", &format!("one-{n}"), 20)
+    });
+    until("two tasks at once through one host", || async {
+        let records: Vec<_> = fleet
+            .all_records()
+            .await
+            .into_iter()
+            .filter(|r| r.body.starts_with("one"))
+            .collect();
+        check::most_running(&records, "a") >= 2
+    })
+    .await;
+    told.extend(one.stop().await);
+    let records = fleet.all_records().await;
+    assert_that!(check::answers(&told, &records), is_empty());
+    assert_that!(check::most_running(&records, "a"), le(3));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn lowers_a_limit_before_the_command_is_answered() {
+    let fleet = Fleet::start(plan()).await;
+    fleet.set_up(&[("a", 1, 9)], 2).await;
+    let load = load(&fleet, 18).await;
+    more(&load).await;
+    fleet.order(1, "set team a share 1 limit 2").await;
+    let lowered = edge::wall_ms();
+    more(&load).await;
+    let told = load.stop().await;
+    let records = fleet.all_records().await;
+    assert_that!(check::answers(&told, &records), is_empty());
+    let after: Vec<_> = records
+        .iter()
+        .filter(|r| r.ended == 0 || r.ended > lowered)
+        .cloned()
+        .collect();
+    let after: Vec<_> = after.into_iter().map(|r| clip(r, lowered)).collect();
+    assert_that!(check::most_running(&after, "a"), le(2));
+}
+
+fn clip(record: standin::worker::Record, from: u64) -> standin::worker::Record {
+    standin::worker::Record {
+        started: record.started.max(from),
+        ..record
+    }
+}
