--- /dev/null
+++ b/components/fold/tests/fold.rs
@@ -0,0 +1,367 @@
+//! The fold: races, repeats, fences, budgets and checkpoints.
+
+use fold::{
+    Act, Assembler, Change, Entry, JobOutcome, JobPhase, KeptTask, MemberState, Outcome, Place, Refusal,
+    Tables, TeamUnits, split,
+};
+use googletest::prelude::*;
+use proptest::prelude::{ProptestConfig, any, proptest};
+
+struct Log {
+    tables: Tables,
+    seqs: std::collections::BTreeMap<u64, u64>,
+}
+
+impl Log {
+    /// Members 1 to 3 have joined.
+    fn new() -> Self {
+        let mut log = Self {
+            tables: Tables::default(),
+            seqs: Default::default(),
+        };
+        for by in 1..=3 {
+            log.add(by, join(by));
+        }
+        log
+    }
+
+    fn add(&mut self, by: u64, act: Act) -> Outcome {
+        let seq = self.seqs.entry(by).or_default();
+        *seq += 1;
+        let entry = Entry {
+            by,
+            seq: *seq,
+            at: 0,
+            acts: vec![act],
+        };
+        self.tables.apply(&entry).remove(0)
+    }
+
+    fn change(&mut self, by: u64, id: &str, version: Option<u64>, change: Change) -> Outcome {
+        self.add(
+            by,
+            Act::Configure {
+                who: "op".into(),
+                id: id.into(),
+                version,
+                change,
+            },
+        )
+    }
+
+    fn team(&mut self, limit: i64) {
+        self.change(
+            1,
+            "team",
+            None,
+            Change::Team {
+                name: "t".into(),
+                share: 1,
+                limit,
+            },
+        );
+    }
+
+    /// A pool `p` with a budget, and hosts `h0..` in racks of two, all in zone `z`.
+    fn pool(&mut self, budget: u32, hosts: u32) {
+        self.change(
+            1,
+            "pool",
+            None,
+            Change::Pool {
+                name: "p".into(),
+                budget,
+            },
+        );
+        for n in 0..hosts {
+            let assign = Change::Assign {
+                host: format!("h{n}"),
+                pool: "p".into(),
+                rack: format!("r{}", n / 2),
+                zone: "z".into(),
+            };
+            self.change(1, &format!("assign{n}"), None, assign);
+        }
+    }
+}
+
+fn join(by: u64) -> Act {
+    let at = |port: u64| format!("127.0.0.1:{port}");
+    Act::Join {
+        host: format!("e{by}"),
+        peer: at(by),
+        admin: at(by + 100),
+        zone: "z".into(),
+    }
+}
+
+fn units(units: i64) -> TeamUnits {
+    TeamUnits {
+        team: "t".into(),
+        units,
+    }
+}
+
+fn host(name: &str) -> Place {
+    Place::Host(name.into())
+}
+
+fn is_applied(outcome: &Outcome) -> bool {
+    matches!(outcome, Outcome::Applied(_))
+}
+
+#[gtest]
+fn ignores_an_entry_that_stands_twice() {
+    let mut log = Log::new();
+    log.team(4);
+    let take = Entry {
+        by: 2,
+        seq: 2,
+        at: 0,
+        acts: vec![Act::Take(units(3))],
+    };
+    expect_that!(log.tables.apply(&take), len(eq(1)));
+    expect_that!(log.tables.apply(&take), is_empty());
+    expect_eq!(log.tables.teams["t"].ledger.unallotted(), 1);
+}
+
+#[gtest]
+fn voids_all_but_the_first_of_two_racing_changes() {
+    let mut log = Log::new();
+    let pool = |budget| Change::Pool {
+        name: "p".into(),
+        budget,
+    };
+    let Outcome::Applied(version) = log.change(1, "a", Some(0), pool(1)) else {
+        panic!("first is void")
+    };
+    expect_true!(is_applied(&log.change(1, "b", Some(version), pool(2))));
+    let late = log.change(2, "c", Some(version), pool(3));
+    expect_that!(
+        late,
+        matches_pattern!(Outcome::Void(matches_pattern!(Refusal::Outdated { .. })))
+    );
+    expect_eq!(log.tables.pools["p"].budget, 2);
+}
+
+#[gtest]
+fn answers_a_repeated_command_as_before() {
+    let mut log = Log::new();
+    let pool = |budget| Change::Pool {
+        name: "p".into(),
+        budget,
+    };
+    let first = log.change(1, "a", None, pool(1));
+    log.change(2, "b", None, pool(2));
+    expect_eq!(log.change(3, "a", None, pool(1)), first);
+    expect_eq!(log.tables.pools["p"].budget, 2);
+}
+
+#[gtest]
+fn keeps_each_host_in_one_pool() {
+    let mut log = Log::new();
+    log.pool(1, 2);
+    log.change(
+        1,
+        "pool2",
+        None,
+        Change::Pool {
+            name: "q".into(),
+            budget: 1,
+        },
+    );
+    let version = log.tables.version("host h0");
+    let to = |pool: &str| Change::Assign {
+        host: "h0".into(),
+        pool: pool.into(),
+        rack: "r0".into(),
+        zone: "z".into(),
+    };
+    expect_true!(is_applied(&log.change(1, "m1", Some(version), to("q"))));
+    expect_false!(is_applied(&log.change(2, "m2", Some(version), to("p"))));
+    expect_eq!(log.tables.hosts["h0"].pool, "q");
+}
+
+#[gtest]
+fn refuses_a_drain_that_would_pass_the_budget() {
+    let mut log = Log::new();
+    log.pool(2, 4);
+    expect_true!(is_applied(&log.change(1, "d0", None, Change::Drain(host("h0")))));
+    expect_true!(is_applied(&log.add(
+        2,
+        Act::Health {
+            host: "h3".into(),
+            down: true
+        }
+    )));
+    let third = log.change(2, "d1", None, Change::Drain(host("h1")));
+    expect_that!(
+        third,
+        matches_pattern!(Outcome::Void(matches_pattern!(Refusal::Budget {
+            out: eq(&3),
+            ..
+        })))
+    );
+    let rack = log.change(3, "d2", None, Change::Drain(Place::Rack("r0".into())));
+    expect_that!(
+        rack,
+        matches_pattern!(Outcome::Void(matches_pattern!(Refusal::Budget { .. })))
+    );
+    expect_true!(is_applied(&log.change(
+        1,
+        "b0",
+        None,
+        Change::BringBack(host("h0"))
+    )));
+    expect_true!(is_applied(&log.change(2, "d3", None, Change::Drain(host("h1")))));
+    expect_eq!(log.tables.hosts_out("p"), 2);
+}
+
+#[gtest]
+fn voids_everything_from_a_fenced_incarnation() {
+    let mut log = Log::new();
+    log.team(4);
+    expect_true!(is_applied(&log.add(1, Act::Fence { inc: 3 })));
+    expect_eq!(log.add(3, Act::Take(units(1))), Outcome::Void(Refusal::Fenced));
+    expect_eq!(log.tables.voters().count(), 3);
+    expect_true!(is_applied(&log.add(2, Act::Fenced { inc: 3 })));
+    expect_eq!(log.tables.voters().count(), 2);
+}
+
+#[gtest]
+fn shuts_out_the_earlier_run_at_the_same_address() {
+    let mut log = Log::new();
+    let Act::Join { peer, .. } = join(3) else { return };
+    log.add(
+        9,
+        Act::Join {
+            host: "e3".into(),
+            peer,
+            admin: "a".into(),
+            zone: "z".into(),
+        },
+    );
+    expect_eq!(log.tables.members[&3].state, MemberState::Fenced);
+}
+
+#[gtest]
+fn reclaims_only_after_all_have_settled() {
+    let mut log = Log::new();
+    log.team(6);
+    log.add(3, Act::Take(units(5)));
+    let reclaim = |running| Act::Reclaim {
+        dead: vec![3],
+        running,
+    };
+    log.add(1, Act::Fence { inc: 3 });
+    log.add(1, Act::Fenced { inc: 3 });
+    expect_false!(is_applied(&log.add(1, reclaim(vec![]))));
+    log.add(
+        1,
+        Act::Settle {
+            about: 3,
+            net: vec![units(2)],
+        },
+    );
+    expect_false!(is_applied(&log.add(1, reclaim(vec![]))));
+    log.add(
+        2,
+        Act::Settle {
+            about: 3,
+            net: vec![],
+        },
+    );
+    let task = KeptTask {
+        id: "x".into(),
+        team: "t".into(),
+        worker: "w".into(),
+    };
+    expect_true!(is_applied(&log.add(1, reclaim(vec![task]))));
+    // Two units moved to member 1, one stays with the task that still runs.
+    expect_eq!(log.tables.teams["t"].ledger.unallotted(), 3);
+    log.add(
+        2,
+        Act::Release {
+            tasks: vec!["x".into()],
+        },
+    );
+    log.add(
+        1,
+        Act::Release {
+            tasks: vec!["x".into()],
+        },
+    );
+    expect_eq!(log.tables.teams["t"].ledger.unallotted(), 4);
+}
+
+#[gtest]
+fn gives_a_job_to_the_first_claim() {
+    let mut log = Log::new();
+    let accept = Act::JobAccept {
+        job: "j".into(),
+        team: "t".into(),
+        queue: "q".into(),
+        path: "/".into(),
+        body: String::new(),
+        rerun: false,
+    };
+    expect_true!(is_applied(&log.add(1, accept.clone())));
+    expect_false!(is_applied(&log.add(2, accept)));
+    let claim = || Act::JobClaim {
+        job: "j".into(),
+        attempt: 1,
+        worker: "w".into(),
+        boot: 1,
+    };
+    expect_true!(is_applied(&log.add(1, claim())));
+    expect_false!(is_applied(&log.add(2, claim())));
+    let end = || Act::JobEnd {
+        job: "j".into(),
+        outcome: JobOutcome::Cancelled,
+    };
+    expect_true!(is_applied(&log.add(1, end())));
+    expect_false!(is_applied(&log.add(2, end())));
+    expect_eq!(log.tables.jobs["j"].phase, JobPhase::Ended(JobOutcome::Cancelled));
+}
+
+#[gtest]
+fn can_go_on_from_a_checkpoint() {
+    let mut log = Log::new();
+    log.team(4);
+    log.pool(2, 4);
+    let parts = split(&log.tables, 100).unwrap();
+    expect_that!(parts.len(), gt(3));
+    let mut assembler = Assembler::default();
+    let (last, first) = parts.split_last().unwrap();
+    for part in first {
+        expect_true!(assembler.add(1, part).is_none());
+    }
+    expect_that!(assembler.add(1, last), some(eq(&log.tables)));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(14), ..ProptestConfig::default() })]
+
+    #[test]
+    fn survives_malformed_records(text in r#"(\{"by":[0-9]{1,3},"seq":[0-9],"at":0,"acts":\[)?["a-zA-Z{}:,\[\]0-9]{0,60}"#) {
+        let parsed: std::result::Result<Entry, _> = serde_json::from_str(&text);
+        if let Err(error) = parsed {
+            assert_that!(error.to_string(), not(eq("")));
+        }
+    }
+
+    #[test]
+    fn never_allots_more_than_the_limit(steps in proptest::collection::vec((1_u64..4, 0_u8..4, any::<i8>()), 0..60)) {
+        let mut log = Log::new();
+        log.team(10);
+        for (by, kind, n) in steps {
+            let n = i64::from(n);
+            match kind {
+                0 | 1 => log.add(by, Act::Take(units(n))),
+                2 => log.add(by, Act::Take(units(n / 16))),
+                _ => log.add(by, Act::Fence { inc: u64::from(n.unsigned_abs().leading_zeros()) % 4 }),
+            };
+            assert_that!(log.tables.teams["t"].ledger.unallotted(), ge(0));
+        }
+    }
+}
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -65,6 +65,67 @@
     assert_that!(check::most_running(&records, "a"), ge(2));
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn counts_tasks_that_outlive_the_host_that_started_them() {
+    let mut fleet = Fleet::start(plan()).await;
+    fleet.set_up(&[("a", 1, LIMIT)], 2).await;
+    let long = Load::start(usize::try_from(LIMIT).unwrap(), &[fleet.callers(1)], |n| {
+        Ask::single("a", &format!("long-{n}"), 7500)
+    });
+    until("all units in use through one host", || async {
+        check::most_running(&fleet.all_records().await, "a") == i64::from(LIMIT)
+    })
+    .await;
+    if let Some(process) = &mut fleet.entries[1].process {
+        process.kill();
+    }
+    let short = Load::start(6, &[fleet.callers(0), fleet.callers(2)], |n| {
+        Ask::single("a", &format!("short-{n}"), 20)
+    });
+    until("the dead host forgotten", || async {
+        fleet.query(0, "show members").await.unwrap_or_default().len() == 2
+    })
+    .await;
+    more(&short).await;
+    let mut told = short.stop().await;
+    told.extend(long.stop().await);
+    let records = fleet.all_records().await;
+    assert_that!(check::answers(&told, &records), is_empty());
+    assert_that!(check::most_running(&records, "a"), eq(i64::from(LIMIT)));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn holds_a_limit_when_a_paused_host_is_shut_out_and_comes_back() {
+    let mut fleet = Fleet::start(plan()).await;
+    fleet.set_up(&[("a", 1, LIMIT)], 2).await;
+    let load = load(&fleet, 24).await;
+    more(&load).await;
+    if let Some(process) = &fleet.entries[1].process {
+        process.pause();
+    }
+    until("the paused host forgotten", || async {
+        fleet.query(0, "show members").await.unwrap_or_default().len() == 2
+    })
+    .await;
+    more(&load).await;
+    if let Some(process) = &fleet.entries[1].process {
+        process.resume();
+    }
+    let mut code = None;
+    while code.is_none() {
+        code = fleet.entries[1]
+            .process
+            .as_mut()
+            .and_then(trial::process::Process::exit_code);
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+    assert_that!(code, some(eq(3)), "it knows that it is shut out");
+    let told = load.stop().await;
+    let records = fleet.all_records().await;
+    assert_that!(check::answers(&told, &records), is_empty());
+    assert_that!(check::most_running(&records, "a"), le(i64::from(LIMIT)));
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn moves_units_between_hosts_while_the_log_is_out() {
     let fleet = Fleet::start(plan()).await;
