--- a/components/claims/src/lib.rs
+++ b/components/claims/src/lib.rs
@@ -70,10 +70,7 @@
             held.push(claim.clone());
         }
         let granted = held.last() == Some(claim);
-        Reply {
-            granted,
-            others: held.iter().filter(|c| *c != claim).cloned().collect(),
-        }
+        Reply { granted, others: held.iter().filter(|c| *c != claim).cloned().collect() }
     }
 
     /// The newest claim on an id, if one stands here.
--- a/components/claims/tests/table.rs
+++ b/components/claims/tests/table.rs
@@ -4,27 +4,15 @@
 use googletest::prelude::*;
 
 fn claim(owner: u64, round: u32) -> Claim {
-    Claim {
-        id: "a".into(),
-        round,
-        owner,
-        worker: format!("w{owner}"),
-        boot: 1,
-    }
+    Claim { id: "a".into(), round, owner, worker: format!("w{owner}"), boot: 1 }
 }
 
 fn granted(others: Vec<Claim>) -> Reply {
-    Reply {
-        granted: true,
-        others,
-    }
+    Reply { granted: true, others }
 }
 
 fn refused(others: Vec<Claim>) -> Reply {
-    Reply {
-        granted: false,
-        others,
-    }
+    Reply { granted: false, others }
 }
 
 #[gtest]
@@ -82,10 +70,7 @@
 fn drops_the_oldest_ids_first() {
     let mut table = Table::default();
     for id in ["x", "y", "z"] {
-        table.offer(&Claim {
-            id: id.into(),
-            ..claim(1, 1)
-        });
+        table.offer(&Claim { id: id.into(), ..claim(1, 1) });
     }
     table.trim(2);
     expect_true!(table.newest("x").is_none());
--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -209,11 +209,7 @@
 pub fn parse(text: &str) -> Result<Settings, Vec<Fault>> {
     let settings = read(text).map_err(|fault| vec![fault])?;
     let faults = settings.faults();
-    if faults.is_empty() {
-        Ok(settings)
-    } else {
-        Err(faults)
-    }
+    if faults.is_empty() { Ok(settings) } else { Err(faults) }
 }
 
 fn read(text: &str) -> Result<Settings, Fault> {
@@ -257,24 +253,13 @@
     fn order_faults(&self) -> Vec<Fault> {
         let mut faults = Vec::new();
         if self.timing.fresh_ms < 3 * self.timing.beat_ms {
-            let reason = format!(
-                "at least three times timing.beat_ms ({}) is needed",
-                3 * self.timing.beat_ms
-            );
-            faults.push(Fault::Value {
-                field: "timing.fresh_ms",
-                reason,
-            });
+            let reason =
+                format!("at least three times timing.beat_ms ({}) is needed", 3 * self.timing.beat_ms);
+            faults.push(Fault::Value { field: "timing.fresh_ms", reason });
         }
         if self.timing.dead_ms < 2 * self.timing.fresh_ms {
-            let reason = format!(
-                "at least twice timing.fresh_ms ({}) is needed",
-                2 * self.timing.fresh_ms
-            );
-            faults.push(Fault::Value {
-                field: "timing.dead_ms",
-                reason,
-            });
+            let reason = format!("at least twice timing.fresh_ms ({}) is needed", 2 * self.timing.fresh_ms);
+            faults.push(Fault::Value { field: "timing.dead_ms", reason });
         }
         faults
     }
--- a/components/config/src/ranges.rs
+++ b/components/config/src/ranges.rs
@@ -20,67 +20,19 @@
     pub(crate) fn check(&self, settings: &Settings) -> Option<Fault> {
         let value = (self.read)(settings);
         let (field, low, high, unit) = (self.field, self.low, self.high, self.unit);
-        (value < low || value > high).then_some(Fault::Range {
-            field,
-            value,
-            low,
-            high,
-            unit,
-        })
+        (value < low || value > high).then_some(Fault::Range { field, value, low, high, unit })
     }
 }
 
 /// All ranges.
 pub const RANGES: &[Range] = &[
-    Range {
-        field: "timing.beat_ms",
-        low: 20,
-        high: 2000,
-        unit: "ms",
-        read: |s| s.timing.beat_ms,
-    },
-    Range {
-        field: "timing.fresh_ms",
-        low: 100,
-        high: 4000,
-        unit: "ms",
-        read: |s| s.timing.fresh_ms,
-    },
-    Range {
-        field: "timing.dead_ms",
-        low: 500,
-        high: 120_000,
-        unit: "ms",
-        read: |s| s.timing.dead_ms,
-    },
-    Range {
-        field: "timing.poll_ms",
-        low: 10,
-        high: 2000,
-        unit: "ms",
-        read: |s| s.timing.poll_ms,
-    },
-    Range {
-        field: "timing.list_ms",
-        low: 50,
-        high: 60_000,
-        unit: "ms",
-        read: |s| s.timing.list_ms,
-    },
-    Range {
-        field: "timing.call_ms",
-        low: 50,
-        high: 10_000,
-        unit: "ms",
-        read: |s| s.timing.call_ms,
-    },
-    Range {
-        field: "timing.probe_ms",
-        low: 50,
-        high: 10_000,
-        unit: "ms",
-        read: |s| s.timing.probe_ms,
-    },
+    Range { field: "timing.beat_ms", low: 20, high: 2000, unit: "ms", read: |s| s.timing.beat_ms },
+    Range { field: "timing.fresh_ms", low: 100, high: 4000, unit: "ms", read: |s| s.timing.fresh_ms },
+    Range { field: "timing.dead_ms", low: 500, high: 120_000, unit: "ms", read: |s| s.timing.dead_ms },
+    Range { field: "timing.poll_ms", low: 10, high: 2000, unit: "ms", read: |s| s.timing.poll_ms },
+    Range { field: "timing.list_ms", low: 50, high: 60_000, unit: "ms", read: |s| s.timing.list_ms },
+    Range { field: "timing.call_ms", low: 50, high: 10_000, unit: "ms", read: |s| s.timing.call_ms },
+    Range { field: "timing.probe_ms", low: 50, high: 10_000, unit: "ms", read: |s| s.timing.probe_ms },
     Range {
         field: "timing.deadline_ms",
         low: 100,
@@ -88,20 +40,8 @@
         unit: "ms",
         read: |s| s.timing.deadline_ms,
     },
-    Range {
-        field: "timing.drain_ms",
-        low: 100,
-        high: 600_000,
-        unit: "ms",
-        read: |s| s.timing.drain_ms,
-    },
-    Range {
-        field: "timing.append_ms",
-        low: 10,
-        high: 1000,
-        unit: "ms",
-        read: |s| s.timing.append_ms,
-    },
+    Range { field: "timing.drain_ms", low: 100, high: 600_000, unit: "ms", read: |s| s.timing.drain_ms },
+    Range { field: "timing.append_ms", low: 10, high: 1000, unit: "ms", read: |s| s.timing.append_ms },
     Range {
         field: "limits.body_bytes",
         low: 1,
@@ -116,13 +56,7 @@
         unit: "requests",
         read: |s| s.limits.queue_length as u64,
     },
-    Range {
-        field: "limits.queue_ms",
-        low: 10,
-        high: 600_000,
-        unit: "ms",
-        read: |s| s.limits.queue_ms,
-    },
+    Range { field: "limits.queue_ms", low: 10, high: 600_000, unit: "ms", read: |s| s.limits.queue_ms },
     Range {
         field: "limits.claims",
         low: 1000,
@@ -144,13 +78,7 @@
         unit: "percent",
         read: |s| u64::from(s.limits.retry_percent),
     },
-    Range {
-        field: "limits.tries",
-        low: 1,
-        high: 10,
-        unit: "tries",
-        read: |s| u64::from(s.limits.tries),
-    },
+    Range { field: "limits.tries", low: 1, high: 10, unit: "tries", read: |s| u64::from(s.limits.tries) },
     Range {
         field: "limits.checkpoint_entries",
         low: 10,
--- a/components/config/tests/settings.rs
+++ b/components/config/tests/settings.rs
@@ -28,10 +28,7 @@
 #[gtest]
 fn errors_on_a_host_name_in_place_of_an_ip_number() {
     let text = GOOD.replace("127.0.0.1:7100", "log.example:7100");
-    expect_that!(
-        parse(&text).unwrap_err()[0].to_string(),
-        contains_substring("log")
-    );
+    expect_that!(parse(&text).unwrap_err()[0].to_string(), contains_substring("log"));
 }
 
 #[gtest]
@@ -39,12 +36,7 @@
     let text = GOOD.replace("name:", "timing: {beat_ms: 5, call_ms: 99999}, name:");
     let faults = parse(&text).unwrap_err();
     let words: Vec<String> = faults.iter().map(ToString::to_string).collect();
-    expect_that!(
-        words,
-        contains(contains_substring(
-            "timing.beat_ms: 5 is not accepted; 20 to 2000 ms"
-        ))
-    );
+    expect_that!(words, contains(contains_substring("timing.beat_ms: 5 is not accepted; 20 to 2000 ms")));
     expect_that!(words, contains(contains_substring("timing.call_ms")));
 }
 
@@ -53,10 +45,7 @@
     let text = GOOD.replace("name:", "timing: {beat_ms: 1000, fresh_ms: 1000}, name:");
     expect_that!(
         parse(&text).unwrap_err(),
-        contains(matches_pattern!(Fault::Value {
-            field: eq(&"timing.fresh_ms"),
-            ..
-        }))
+        contains(matches_pattern!(Fault::Value { field: eq(&"timing.fresh_ms"), .. }))
     );
 }
 
--- a/components/edge/src/http_client.rs
+++ b/components/edge/src/http_client.rs
@@ -44,27 +44,13 @@
     /// A call without headers or body.
     #[must_use]
     pub fn get(addr: &'a str, path: &'a str, timeout: Duration) -> Self {
-        Self {
-            method: Method::GET,
-            addr,
-            path,
-            headers: HeaderMap::new(),
-            body: Bytes::new(),
-            timeout,
-        }
+        Self { method: Method::GET, addr, path, headers: HeaderMap::new(), body: Bytes::new(), timeout }
     }
 
     /// A call with a body.
     #[must_use]
     pub fn post(addr: &'a str, path: &'a str, body: Bytes, timeout: Duration) -> Self {
-        Self {
-            method: Method::POST,
-            addr,
-            path,
-            headers: HeaderMap::new(),
-            body,
-            timeout,
-        }
+        Self { method: Method::POST, addr, path, headers: HeaderMap::new(), body, timeout }
     }
 }
 
@@ -96,10 +82,7 @@
 
 impl Default for Fetcher {
     fn default() -> Self {
-        Self {
-            pools: Mutex::default(),
-            idle: MAX_IDLE_PER_TARGET,
-        }
+        Self { pools: Mutex::default(), idle: MAX_IDLE_PER_TARGET }
     }
 }
 
@@ -107,10 +90,7 @@
     /// A client that opens a new connection for every call.
     #[must_use]
     pub fn unpooled() -> Self {
-        Self {
-            pools: Mutex::default(),
-            idle: 0,
-        }
+        Self { pools: Mutex::default(), idle: 0 }
     }
 
     /// Makes one call.
@@ -125,20 +105,13 @@
             let (parts, body) = response.into_parts();
             let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
             let body = body.map_err(|e| Fault::may_have_run(format!("answer broke off: {e}")))?;
-            Ok(Fetched {
-                status: parts.status,
-                headers: parts.headers,
-                body: body.to_bytes(),
-            })
+            Ok(Fetched { status: parts.status, headers: parts.headers, body: body.to_bytes() })
         };
         match tokio::time::timeout(call.timeout, whole).await {
             Ok(done) => done,
             Err(_) => {
                 self.forget(call.addr);
-                Err(Fault::may_have_run(format!(
-                    "no answer from {} in {:?}",
-                    call.addr, call.timeout
-                )))
+                Err(Fault::may_have_run(format!("no answer from {} in {:?}", call.addr, call.timeout)))
             }
         }
     }
@@ -159,9 +132,7 @@
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<String, Pool>> {
-        self.pools
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner)
+        self.pools.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 }
 
@@ -188,13 +159,8 @@
 
 fn classify(error: &hyper_util::client::legacy::Error) -> Fault {
     let source = std::error::Error::source(error);
-    let canceled = source
-        .and_then(|s| s.downcast_ref::<hyper::Error>())
-        .is_some_and(hyper::Error::is_canceled);
+    let canceled =
+        source.and_then(|s| s.downcast_ref::<hyper::Error>()).is_some_and(hyper::Error::is_canceled);
     let words = source.map_or_else(|| error.to_string(), |s| format!("{error}: {s}"));
-    if error.is_connect() || canceled {
-        Fault::not_run(words)
-    } else {
-        Fault::may_have_run(words)
-    }
+    if error.is_connect() || canceled { Fault::not_run(words) } else { Fault::may_have_run(words) }
 }
--- a/components/edge/src/log.rs
+++ b/components/edge/src/log.rs
@@ -48,11 +48,7 @@
     /// A client for the log at `ip:port`.
     #[must_use]
     pub fn new(addr: &str, timeout: Duration) -> Self {
-        Self {
-            addr: addr.to_owned(),
-            timeout,
-            http: Fetcher::default(),
-        }
+        Self { addr: addr.to_owned(), timeout, http: Fetcher::default() }
     }
 }
 
@@ -60,10 +56,7 @@
     fn append<'a>(&'a self, data: &'a str) -> Call<'a, u64> {
         Box::pin(async move {
             let body = Bytes::copy_from_slice(data.as_bytes());
-            let done = self
-                .http
-                .fetch(Fetch::post(&self.addr, "/append", body, self.timeout))
-                .await?;
+            let done = self.http.fetch(Fetch::post(&self.addr, "/append", body, self.timeout)).await?;
             if !done.status.is_success() {
                 return Err(Fault::may_have_run(format!("log answered {}", done.status)));
             }
@@ -74,10 +67,7 @@
     fn read(&self, from: u64, max: usize) -> Call<'_, LogPage> {
         Box::pin(async move {
             let path = format!("/read?from={from}&max={max}");
-            let done = self
-                .http
-                .fetch(Fetch::get(&self.addr, &path, self.timeout))
-                .await?;
+            let done = self.http.fetch(Fetch::get(&self.addr, &path, self.timeout)).await?;
             if !done.status.is_success() {
                 return Err(Fault::not_run(format!("log answered {}", done.status)));
             }
--- a/components/edge/src/roster.rs
+++ b/components/edge/src/roster.rs
@@ -51,21 +51,14 @@
     /// A client for the list at `ip:port`.
     #[must_use]
     pub fn new(addr: &str, timeout: Duration) -> Self {
-        Self {
-            addr: addr.to_owned(),
-            timeout,
-            http: Fetcher::default(),
-        }
+        Self { addr: addr.to_owned(), timeout, http: Fetcher::default() }
     }
 }
 
 impl Roster for HttpRoster {
     fn hosts(&self) -> Call<'_, Vec<HostInfo>> {
         Box::pin(async move {
-            let done = self
-                .http
-                .fetch(Fetch::get(&self.addr, "/hosts", self.timeout))
-                .await?;
+            let done = self.http.fetch(Fetch::get(&self.addr, "/hosts", self.timeout)).await?;
             serde_json::from_slice(&done.body)
                 .map_err(|e| Fault::not_run(format!("host list is malformed: {e}")))
         })
--- a/components/edge/src/verdict.rs
+++ b/components/edge/src/verdict.rs
@@ -30,9 +30,7 @@
     /// Reads the header form.
     #[must_use]
     pub fn parse(text: &str) -> Option<Self> {
-        [Self::NotRun, Self::Ran, Self::MayHaveRun]
-            .into_iter()
-            .find(|v| v.as_str() == text)
+        [Self::NotRun, Self::Ran, Self::MayHaveRun].into_iter().find(|v| v.as_str() == text)
     }
 }
 
@@ -49,17 +47,11 @@
 impl Fault {
     /// A call that certainly had no effect.
     pub fn not_run(reason: impl Into<String>) -> Self {
-        Self {
-            verdict: Verdict::NotRun,
-            reason: reason.into(),
-        }
+        Self { verdict: Verdict::NotRun, reason: reason.into() }
     }
 
     /// A call whose effect is unknown.
     pub fn may_have_run(reason: impl Into<String>) -> Self {
-        Self {
-            verdict: Verdict::MayHaveRun,
-            reason: reason.into(),
-        }
+        Self { verdict: Verdict::MayHaveRun, reason: reason.into() }
     }
 }
--- a/components/edge/src/worker.rs
+++ b/components/edge/src/worker.rs
@@ -131,11 +131,7 @@
     /// A client with a timeout for everything but starts.
     #[must_use]
     pub fn new(timeout: Duration) -> Self {
-        Self {
-            timeout,
-            pooled: Fetcher::default(),
-            fresh: Fetcher::unpooled(),
-        }
+        Self { timeout, pooled: Fetcher::default(), fresh: Fetcher::unpooled() }
     }
 
     async fn ask<T: for<'de> Deserialize<'de>>(&self, call: Fetch<'_>) -> Result<T, Fault> {
@@ -153,54 +149,30 @@
         Box::pin(async move {
             let headers = order_headers(order)?;
             let path = format!("/start{}", order.path);
-            let call = Fetch {
-                headers,
-                ..Fetch::post(addr, &path, order.body.clone(), timeout)
-            };
+            let call = Fetch { headers, ..Fetch::post(addr, &path, order.body.clone(), timeout) };
             read_answer(&order.id, self.pooled.fetch(call).await?)
         })
     }
 
     fn status<'a>(&'a self, addr: &'a str, id: &'a str) -> Call<'a, TaskState> {
-        Box::pin(async move {
-            self.ask(Fetch::get(addr, &format!("/status?id={id}"), self.timeout))
-                .await
-        })
+        Box::pin(async move { self.ask(Fetch::get(addr, &format!("/status?id={id}"), self.timeout)).await })
     }
 
     fn bar<'a>(&'a self, addr: &'a str, id: &'a str) -> Call<'a, TaskState> {
         Box::pin(async move {
-            self.ask(Fetch::post(
-                addr,
-                &format!("/bar?id={id}"),
-                Bytes::new(),
-                self.timeout,
-            ))
-            .await
+            self.ask(Fetch::post(addr, &format!("/bar?id={id}"), Bytes::new(), self.timeout)).await
         })
     }
 
     fn stop<'a>(&'a self, addr: &'a str, id: &'a str) -> Call<'a, TaskState> {
         Box::pin(async move {
-            self.ask(Fetch::post(
-                addr,
-                &format!("/stop?id={id}"),
-                Bytes::new(),
-                self.timeout,
-            ))
-            .await
+            self.ask(Fetch::post(addr, &format!("/stop?id={id}"), Bytes::new(), self.timeout)).await
         })
     }
 
     fn revoke<'a>(&'a self, addr: &'a str, lease: Incarnation) -> Call<'a, Vec<LeasedTask>> {
         Box::pin(async move {
-            self.ask(Fetch::post(
-                addr,
-                &format!("/revoke?lease={lease}"),
-                Bytes::new(),
-                self.timeout,
-            ))
-            .await
+            self.ask(Fetch::post(addr, &format!("/revoke?lease={lease}"), Bytes::new(), self.timeout)).await
         })
     }
 
@@ -222,14 +194,7 @@
     put("x-lease", &order.lease.to_string())?;
     put("x-boot", &order.boot.to_string())?;
     put("x-team", &order.team)?;
-    put(
-        "x-kind",
-        if order.kind == TaskKind::Job {
-            "job"
-        } else {
-            "request"
-        },
-    )?;
+    put("x-kind", if order.kind == TaskKind::Job { "job" } else { "request" })?;
     put("x-not-after", &order.not_after.to_string())?;
     Ok(headers)
 }
@@ -241,13 +206,6 @@
     if done.header(TASK_HEADER) != Some(id) {
         return Err(Fault::may_have_run("worker answered for another task"));
     }
-    let running = done
-        .header(RUNNING_HEADER)
-        .and_then(|r| r.parse().ok())
-        .unwrap_or(0);
-    Ok(Answer {
-        status: done.status,
-        body: done.body,
-        running,
-    })
+    let running = done.header(RUNNING_HEADER).and_then(|r| r.parse().ok()).unwrap_or(0);
+    Ok(Answer { status: done.status, body: done.body, running })
 }
--- a/components/entry/src/admin.rs
+++ b/components/entry/src/admin.rs
@@ -67,10 +67,7 @@
 #[handler]
 fn get_metrics(node: Data<&Arc<Node>>) -> String {
     node.gauge();
-    node.metrics
-        .as_ref()
-        .map(metrics_exporter_prometheus::PrometheusHandle::render)
-        .unwrap_or_default()
+    node.metrics.as_ref().map(metrics_exporter_prometheus::PrometheusHandle::render).unwrap_or_default()
 }
 
 impl Node {
@@ -81,9 +78,7 @@
         let state = self.state.lock();
         metrics::gauge!("lagoonrelay_config_offset").set(state.tables.next as f64);
         let confirmed = state.fresh.confirmed(now, state.tables.next, state.voters());
-        let age = confirmed.map_or(f64::INFINITY, |at| {
-            now.saturating_duration_since(at).as_secs_f64()
-        });
+        let age = confirmed.map_or(f64::INFINITY, |at| now.saturating_duration_since(at).as_secs_f64());
         metrics::gauge!("lagoonrelay_config_age_seconds").set(age);
         for (team, purse) in &state.purses {
             metrics::gauge!("lagoonrelay_units_held", "team" => team.clone()).set(purse.rights() as f64);
@@ -98,26 +93,17 @@
 
 #[handler]
 fn get_events(node: Data<&Arc<Node>>, request: &Request, Query(query): Query<Since>) -> Response {
-    if bearer(request)
-        .and_then(|secret| node.operator_of(secret))
-        .is_none()
-    {
+    if bearer(request).and_then(|secret| node.operator_of(secret)).is_none() {
         return text(StatusCode::UNAUTHORIZED, "an operator's key is needed".into());
     }
     json(StatusCode::OK, &node.events.since(query.since))
 }
 
 fn text(status: StatusCode, words: String) -> Response {
-    Response::builder()
-        .status(status)
-        .header(VERDICT_HEADER, Verdict::NotRun.as_str())
-        .body(words)
+    Response::builder().status(status).header(VERDICT_HEADER, Verdict::NotRun.as_str()).body(words)
 }
 
 fn json(status: StatusCode, value: &impl serde::Serialize) -> Response {
     let body = serde_json::to_string(value).unwrap_or_default();
-    Response::builder()
-        .status(status)
-        .content_type("application/json")
-        .body(body)
+    Response::builder().status(status).content_type("application/json").body(body)
 }
--- a/components/entry/src/admit.rs
+++ b/components/entry/src/admit.rs
@@ -9,12 +9,12 @@
 
 use config::{Admission, Placement};
 use edge::Fault;
-use policy::{Candidate, Choice, Claimant, Pick, choose, pick};
+use policy::{Avoid, Candidate, Choice, Claimant, Pick, choose, pick};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
 use crate::node::Node;
-use crate::state::State;
+use crate::state::{State, WorkerView};
 
 const TICK: Duration = Duration::from_millis(20);
 const USAGE_TIME: Duration = Duration::from_secs(3);
@@ -31,7 +31,7 @@
 struct Waiter {
     since: Instant,
     urgent: bool,
-    avoid: Option<String>,
+    failed: Vec<Failed>,
     grant: oneshot::Sender<Grant>,
 }
 
@@ -51,8 +51,17 @@
     pub pool: String,
     /// Goes before the team's other work.
     pub urgent: bool,
-    /// Zone to avoid, if another has room.
-    pub avoid: Option<String>,
+    /// Where it has failed, to be avoided if there is room elsewhere.
+    pub failed: Vec<Failed>,
+}
+
+/// Where a request has failed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Failed {
+    /// Worker name.
+    pub worker: String,
+    /// Availability zone.
+    pub zone: String,
 }
 
 /// A unit of a team and a slot of a worker, held until dropped.
@@ -82,11 +91,7 @@
     /// Waiting requests of a team over all pools.
     #[must_use]
     pub fn waiting(&self, team: &str) -> i64 {
-        let lengths = self
-            .pools
-            .values()
-            .filter_map(|teams| teams.get(team))
-            .map(VecDeque::len);
+        let lengths = self.pools.values().filter_map(|teams| teams.get(team)).map(VecDeque::len);
         i64::try_from(lengths.sum::<usize>()).unwrap_or(i64::MAX)
     }
 
@@ -97,12 +102,7 @@
     }
 
     fn push(&mut self, ask: &Ask, waiter: Waiter, most: usize) -> bool {
-        let queue = self
-            .pools
-            .entry(ask.pool.clone())
-            .or_default()
-            .entry(ask.team.clone())
-            .or_default();
+        let queue = self.pools.entry(ask.pool.clone()).or_default().entry(ask.team.clone()).or_default();
         if queue.len() >= most {
             return false;
         }
@@ -135,19 +135,11 @@
     #[must_use]
     pub fn running(&self, team: &str) -> i64 {
         let own = self.purses.get(team).map_or(0, escrow::Purse::used);
-        own + self
-            .peers
-            .values()
-            .filter_map(|p| p.load.get(team))
-            .map(|l| l.running)
-            .sum::<i64>()
+        own + self.peers.values().filter_map(|p| p.load.get(team)).map(|l| l.running).sum::<i64>()
     }
 
     fn waits_elsewhere(&self, team: &str) -> bool {
-        self.peers
-            .values()
-            .filter_map(|p| p.load.get(team))
-            .any(|l| l.waiting > 0)
+        self.peers.values().filter_map(|p| p.load.get(team)).any(|l| l.waiting > 0)
     }
 
     fn claimant(&self, name: &str, ready: bool) -> Claimant {
@@ -191,16 +183,11 @@
     fn next_worker(
         &self,
         pool: &str,
-        avoid: Option<&str>,
+        failed: &[Failed],
         placement: Placement,
         now: Instant,
     ) -> Option<String> {
-        let in_pool = self
-            .tables
-            .hosts
-            .iter()
-            .filter(|(_, h)| h.pool == pool)
-            .map(|(name, _)| name);
+        let in_pool = self.tables.hosts.iter().filter(|(_, h)| h.pool == pool).map(|(name, _)| name);
         let names: Vec<&String> = in_pool.filter(|name| self.in_service(name)).collect();
         let views: Vec<_> = names.iter().filter_map(|name| self.workers.get(*name)).collect();
         let ejected = views.iter().filter(|v| v.is_ejected(now)).count();
@@ -208,13 +195,9 @@
         let candidates: Vec<Candidate> = views
             .iter()
             .map(|v| Candidate {
-                load: if heed && v.is_ejected(now) {
-                    v.info.slots
-                } else {
-                    v.load(now)
-                },
+                load: if heed && v.is_ejected(now) { v.info.slots } else { v.load(now) },
                 slots: v.info.slots,
-                avoid: avoid == Some(v.info.zone.as_str()),
+                avoid: avoid(failed, v),
             })
             .collect();
         let choice = match placement {
@@ -233,8 +216,8 @@
         now: Instant,
     ) -> Option<(oneshot::Sender<Grant>, Grant)> {
         let team = self.next_team(pool, node.settings.admission)?;
-        let avoid = self.queues.pools.get(pool)?.get(&team)?.front()?.avoid.clone();
-        let worker = self.next_worker(pool, avoid.as_deref(), node.settings.placement, now)?;
+        let failed = self.queues.pools.get(pool)?.get(&team)?.front()?.failed.clone();
+        let worker = self.next_worker(pool, &failed, node.settings.placement, now)?;
         self.may_start(now, node.fresh(), &worker).ok()?;
         if !self.purses.get_mut(&team)?.acquire() {
             return None;
@@ -248,6 +231,21 @@
     }
 }
 
+fn avoid(failed: &[Failed], worker: &WorkerView) -> Avoid {
+    if failed.iter().any(|f| f.worker == worker.info.name) {
+        return Avoid::Worker;
+    }
+    if failed.iter().any(|f| f.zone == worker.info.zone) { Avoid::Zone } else { Avoid::No }
+}
+
+impl Hold {
+    /// This place, for a request that has failed here.
+    #[must_use]
+    pub fn place(&self) -> Failed {
+        Failed { worker: self.worker.clone(), zone: self.zone.clone() }
+    }
+}
+
 impl Node {
     /// Waits for a unit and a slot.
     ///
@@ -255,12 +253,7 @@
     /// A `NotRun` fault when the queue is full or the wait is over.
     pub async fn admit(self: &Arc<Self>, ask: &Ask, until: Instant) -> Result<Hold, Fault> {
         let (grant, granted) = oneshot::channel();
-        let waiter = Waiter {
-            since: Instant::now(),
-            urgent: ask.urgent,
-            avoid: ask.avoid.clone(),
-            grant,
-        };
+        let waiter = Waiter { since: Instant::now(), urgent: ask.urgent, failed: ask.failed.clone(), grant };
         let most = self.settings.limits.queue_length;
         if !self.state.lock().queues.push(ask, waiter, most) {
             return Err(Fault::not_run(format!("queue of team {} is full", ask.team)));
@@ -278,20 +271,9 @@
     }
 
     fn hold(self: &Arc<Self>, grant: Grant) -> Hold {
-        let info = self
-            .state
-            .lock()
-            .workers
-            .get(&grant.worker)
-            .map(|w| w.info.clone());
+        let info = self.state.lock().workers.get(&grant.worker).map(|w| w.info.clone());
         let (addr, zone) = info.map(|i| (i.addr, i.zone)).unwrap_or_default();
-        Hold {
-            node: Arc::clone(self),
-            team: grant.team,
-            worker: grant.worker,
-            addr,
-            zone,
-        }
+        Hold { node: Arc::clone(self), team: grant.team, worker: grant.worker, addr, zone }
     }
 
     /// Grants all that can be granted now.
--- a/components/entry/src/append.rs
+++ b/components/entry/src/append.rs
@@ -46,11 +46,7 @@
     pub async fn propose(&self, act: Act, wait: Duration) -> Proposed {
         let state = Arc::new(AtomicU8::new(WAITING));
         let (reply, outcome) = oneshot::channel();
-        let proposal = Proposal {
-            act,
-            state: Arc::clone(&state),
-            reply,
-        };
+        let proposal = Proposal { act, state: Arc::clone(&state), reply };
         if self.proposals.send(proposal).is_err() {
             return Proposed::Withdrawn;
         }
@@ -66,11 +62,7 @@
     /// Proposes an act without waiting.
     pub fn propose_later(&self, act: Act) {
         let (reply, _) = oneshot::channel();
-        let _ = self.proposals.send(Proposal {
-            act,
-            state: Arc::default(),
-            reply,
-        });
+        let _ = self.proposals.send(Proposal { act, state: Arc::default(), reply });
     }
 }
 
@@ -99,27 +91,16 @@
         let Ok(next) = proposals.try_recv() else { break };
         batch.push(next);
     }
-    let take = |p: &Proposal| {
-        p.state
-            .compare_exchange(WAITING, TAKEN, Ordering::SeqCst, Ordering::SeqCst)
-            .is_ok()
-    };
+    let take =
+        |p: &Proposal| p.state.compare_exchange(WAITING, TAKEN, Ordering::SeqCst, Ordering::SeqCst).is_ok();
     batch.into_iter().filter(take).collect()
 }
 
 async fn commit(node: &Node, seq: u64, acts: Vec<Act>) -> Vec<Outcome> {
     let count = acts.len();
     let (sender, mut folded) = oneshot::channel();
-    node.state.lock().pending = Some(PendingAppend {
-        seq,
-        outcomes: sender,
-    });
-    let entry = Entry {
-        by: node.inc,
-        seq,
-        at: wall_ms(),
-        acts,
-    };
+    node.state.lock().pending = Some(PendingAppend { seq, outcomes: sender });
+    let entry = Entry { by: node.inc, seq, at: wall_ms(), acts };
     let Ok(text) = serde_json::to_string(&entry) else {
         return vec![Outcome::Void(Refusal::State("entry cannot be written".into())); count];
     };
--- a/components/entry/src/attempt.rs
+++ b/components/entry/src/attempt.rs
@@ -64,10 +64,7 @@
 
 impl Tried {
     fn not_run(reason: impl Into<String>) -> Self {
-        Self::NotRun {
-            reason: reason.into(),
-            full: false,
-        }
+        Self::NotRun { reason: reason.into(), full: false }
     }
 }
 
@@ -153,9 +150,7 @@
         match self.settle(&hold.addr, id, deadline).await {
             Settled::Barred => Tried::not_run(cause),
             Settled::Ended(answer) => Tried::Answered(answer),
-            Settled::Unknown(reason) => Tried::Unknown {
-                reason: format!("{cause}; {reason}"),
-            },
+            Settled::Unknown(reason) => Tried::Unknown { reason: format!("{cause}; {reason}") },
         }
     }
 
@@ -198,11 +193,7 @@
 
 fn answer_of(status: u16, body: String) -> Answer {
     let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
-    Answer {
-        status,
-        body: body.into(),
-        running: 0,
-    }
+    Answer { status, body: body.into(), running: 0 }
 }
 
 /// Keeps a unit until its task has ended, or the platform has removed the worker.
--- a/components/entry/src/command.rs
+++ b/components/entry/src/command.rs
@@ -56,45 +56,26 @@
         if command.dry {
             return self.dry_run(command.version, &change);
         }
-        let id = command
-            .id
-            .clone()
-            .unwrap_or_else(|| format!("{:016x}", rand::random::<u64>()));
+        let id = command.id.clone().unwrap_or_else(|| format!("{:016x}", rand::random::<u64>()));
         let object = change.object();
         let team = match &change {
             Change::Team { name, .. } => Some(name.clone()),
             _ => None,
         };
-        let act = Act::Configure {
-            who: who.to_owned(),
-            id,
-            version: command.version,
-            change,
-        };
+        let act = Act::Configure { who: who.to_owned(), id, version: command.version, change };
         let version = match self.propose(act, left(deadline)).await {
             Proposed::Folded(Outcome::Applied(version)) => version,
             Proposed::Folded(Outcome::Void(reason)) => {
-                return Answer::Refused {
-                    reason: reason.to_string(),
-                };
+                return Answer::Refused { reason: reason.to_string() };
             }
             Proposed::Withdrawn => {
-                return Answer::Refused {
-                    reason: "the log does not answer".into(),
-                };
+                return Answer::Refused { reason: "the log does not answer".into() };
             }
             Proposed::Open => {
-                return Answer::Pending {
-                    version: None,
-                    waiting: vec!["log".into()],
-                };
+                return Answer::Pending { version: None, waiting: vec!["log".into()] };
             }
         };
-        self.note(Event {
-            kind: "command".into(),
-            note: format!("{who}: {object}"),
-            ..Event::default()
-        });
+        self.note(Event { kind: "command".into(), note: format!("{who}: {object}"), ..Event::default() });
         if let Some(team) = team
             && !self.units_burnt(&team, deadline).await
         {
@@ -123,12 +104,8 @@
     fn dry_run(&self, version: Option<u64>, change: &Change) -> Answer {
         let state = self.state.lock();
         match state.tables.check(version, change) {
-            Ok(()) => Answer::Allowed {
-                version: state.tables.version(&change.object()),
-            },
-            Err(reason) => Answer::Refused {
-                reason: reason.to_string(),
-            },
+            Ok(()) => Answer::Allowed { version: state.tables.version(&change.object()) },
+            Err(reason) => Answer::Refused { reason: reason.to_string() },
         }
     }
 
@@ -148,12 +125,7 @@
                     zone: view.info.zone.clone(),
                 })
             }
-            Wanted::Grant {
-                name,
-                secret,
-                team,
-                operator,
-            } => Ok(Change::Grant {
+            Wanted::Grant { name, secret, team, operator } => Ok(Change::Grant {
                 name: name.clone(),
                 digest: self.digest(secret).to_hex().to_string(),
                 team: team.clone(),
@@ -176,16 +148,10 @@
             }
             let stopped = majority.is_some_and(|at| at.elapsed() > self.fresh() + IN_FORCE_MARGIN);
             if lagging.is_empty() || stopped {
-                return Answer::Accepted {
-                    version: offset,
-                    stopped: lagging,
-                };
+                return Answer::Accepted { version: offset, stopped: lagging };
             }
             if left(deadline) == Duration::ZERO {
-                return Answer::Pending {
-                    version: Some(offset),
-                    waiting: lagging,
-                };
+                return Answer::Pending { version: Some(offset), waiting: lagging };
             }
             let _ = tokio::time::timeout(left(deadline).min(IN_FORCE_MARGIN), changed).await;
         }
@@ -200,12 +166,7 @@
     pub(crate) fn team_of(&self, tables: &Tables, secret: &str) -> Option<String> {
         let digest = self.digest(secret);
         let same = |key: &&fold::Key| blake3::Hash::from_hex(&key.digest).is_ok_and(|d| d == digest);
-        tables
-            .keys
-            .values()
-            .filter(|k| !k.withdrawn)
-            .find(same)
-            .map(|key| key.team.clone())
+        tables.keys.values().filter(|k| !k.withdrawn).find(same).map(|key| key.team.clone())
     }
 
     /// Name of the operator that a secret belongs to.
@@ -216,11 +177,7 @@
         }
         let state = self.state.lock();
         let same = |key: &fold::Key| blake3::Hash::from_hex(&key.digest).is_ok_and(|d| d == digest);
-        let granted = state
-            .tables
-            .keys
-            .iter()
-            .find(|(_, k)| k.operator && !k.withdrawn && same(k));
+        let granted = state.tables.keys.iter().find(|(_, k)| k.operator && !k.withdrawn && same(k));
         granted.map(|(name, _)| name.clone())
     }
 }
@@ -229,26 +186,15 @@
     /// True while more units of a team are allotted than its limit, because the limit was lowered.
     #[must_use]
     pub fn over_limit(&self, team: &str) -> bool {
-        self.tables
-            .teams
-            .get(team)
-            .is_some_and(|t| t.ledger.unallotted() < 0)
+        self.tables.teams.get(team).is_some_and(|t| t.ledger.unallotted() < 0)
     }
 
     /// Names of members that are not known to have applied an offset.
     fn lagging(&self, offset: u64) -> Vec<String> {
         let lags = |inc: Incarnation| {
-            let applied = if inc == self.inc {
-                Some(self.tables.next)
-            } else {
-                self.fresh.applied_by(inc)
-            };
+            let applied = if inc == self.inc { Some(self.tables.next) } else { self.fresh.applied_by(inc) };
             applied.is_none_or(|a| a <= offset)
         };
-        self.tables
-            .voters()
-            .filter(|(inc, _)| lags(*inc))
-            .map(|(_, m)| m.host.clone())
-            .collect()
+        self.tables.voters().filter(|(inc, _)| lags(*inc)).map(|(_, m)| m.host.clone()).collect()
     }
 }
--- a/components/entry/src/drain.rs
+++ b/components/entry/src/drain.rs
@@ -22,10 +22,7 @@
     let deadline = Instant::now() + Duration::from_millis(node.settings.timing.drain_ms);
     node.state.lock().leaving = true;
     node.beat_kick.notify_one();
-    node.note(Event {
-        kind: "leaving".into(),
-        ..Event::default()
-    });
+    node.note(Event { kind: "leaving".into(), ..Event::default() });
     tracing::info!("drain: taking nothing new");
     tokio::select! {
         () = finish(&node, deadline) => {}
--- a/components/entry/src/jobs.rs
+++ b/components/entry/src/jobs.rs
@@ -12,7 +12,7 @@
 use fold::{Act, Incarnation, Job, JobOutcome, JobPhase, Outcome};
 use serde::Serialize;
 
-use crate::admit::{Ask, Hold};
+use crate::admit::{Ask, Failed, Hold};
 use crate::append::Proposed;
 use crate::attempt::{Task, Tried};
 use crate::node::{Node, duty_owner};
@@ -110,15 +110,9 @@
         if !self.is_live() || self.leaving {
             return Vec::new();
         }
-        let open = self
-            .tables
-            .jobs
-            .iter()
-            .filter(|(id, job)| !job.is_over() && !self.jobs.contains(*id));
-        let mine: Vec<String> = open
-            .filter(|(id, job)| self.is_mine(id, job))
-            .map(|(id, _)| id.clone())
-            .collect();
+        let open = self.tables.jobs.iter().filter(|(id, job)| !job.is_over() && !self.jobs.contains(*id));
+        let mine: Vec<String> =
+            open.filter(|(id, job)| self.is_mine(id, job)).map(|(id, _)| id.clone()).collect();
         self.jobs.extend(mine.iter().cloned());
         mine
     }
@@ -145,12 +139,8 @@
         match &job.phase {
             JobPhase::Accepted => self.start_job(id, &job).await,
             JobPhase::Claimed { worker, boot, .. } => {
-                let attempt = Attempt {
-                    job: id.to_owned(),
-                    number: job.attempt,
-                    worker: worker.clone(),
-                    boot: *boot,
-                };
+                let attempt =
+                    Attempt { job: id.to_owned(), number: job.attempt, worker: worker.clone(), boot: *boot };
                 self.supervise(&attempt).await;
             }
             JobPhase::Ended(_) => {}
@@ -165,22 +155,11 @@
             self.worker_answered(&hold.worker, false, None);
             return;
         };
-        let attempt = Attempt {
-            job: id.to_owned(),
-            number: job.attempt + 1,
-            worker: hold.worker.clone(),
-            boot,
-        };
-        let claim = Act::JobClaim {
-            job: id.to_owned(),
-            attempt: attempt.number,
-            worker: hold.worker.clone(),
-            boot,
-        };
-        if !matches!(
-            self.propose(claim, LOG_WAIT).await,
-            Proposed::Folded(Outcome::Applied(_))
-        ) {
+        let attempt =
+            Attempt { job: id.to_owned(), number: job.attempt + 1, worker: hold.worker.clone(), boot };
+        let claim =
+            Act::JobClaim { job: id.to_owned(), attempt: attempt.number, worker: hold.worker.clone(), boot };
+        if !matches!(self.propose(claim, LOG_WAIT).await, Proposed::Folded(Outcome::Applied(_))) {
             return;
         }
         let task = Task {
@@ -193,11 +172,7 @@
         match self.attempt_held(&hold, &task, Instant::now() + START_TIME).await {
             Tried::Answered(_) | Tried::Unknown { .. } => self.supervise(&attempt).await,
             Tried::NotRun { full, .. } => {
-                let release = Act::JobRelease {
-                    job: id.to_owned(),
-                    attempt: attempt.number,
-                    bad: !full,
-                };
+                let release = Act::JobRelease { job: id.to_owned(), attempt: attempt.number, bad: !full };
                 self.propose(release, LOG_WAIT).await;
             }
         }
@@ -205,18 +180,8 @@
 
     async fn admit_job(self: &Arc<Self>, job: &Job) -> Option<Hold> {
         let pool = self.state.lock().tables.queues.get(&job.queue)?.pool.clone();
-        let ask = Ask {
-            team: job.team.clone(),
-            pool,
-            urgent: false,
-            avoid: None,
-        };
-        let hold = self.admit(&ask, Instant::now() + ADMIT_WAIT).await.ok()?;
-        if job.tried.contains(&hold.worker) {
-            tokio::time::sleep(POLL).await;
-            return None;
-        }
-        Some(hold)
+        let ask = Ask { team: job.team.clone(), pool, urgent: false, failed: failed_on(job) };
+        self.admit(&ask, Instant::now() + ADMIT_WAIT).await.ok()
     }
 
     /// Asks the worker for an attempt until its end is on the log.
@@ -281,19 +246,17 @@
     }
 }
 
+/// Workers on which a job has failed; it may go to another worker of their zones.
+fn failed_on(job: &Job) -> Vec<Failed> {
+    job.tried.iter().map(|worker| Failed { worker: worker.clone(), zone: String::new() }).collect()
+}
+
 fn end(attempt: &Attempt, outcome: JobOutcome) -> Act {
-    Act::JobEnd {
-        job: attempt.job.clone(),
-        outcome,
-    }
+    Act::JobEnd { job: attempt.job.clone(), outcome }
 }
 
 fn release(attempt: &Attempt, bad: bool) -> Act {
-    Act::JobRelease {
-        job: attempt.job.clone(),
-        attempt: attempt.number,
-        bad,
-    }
+    Act::JobRelease { job: attempt.job.clone(), attempt: attempt.number, bad }
 }
 
 fn ended(attempt: &Attempt, job: &Job, status: u16, body: String) -> Next {
@@ -313,10 +276,5 @@
     if job.rerun {
         return Next::Write(release(attempt, false));
     }
-    Next::Write(end(
-        attempt,
-        JobOutcome::Unknown {
-            reason: reason.to_owned(),
-        },
-    ))
+    Next::Write(end(attempt, JobOutcome::Unknown { reason: reason.to_owned() }))
 }
--- a/components/entry/src/members.rs
+++ b/components/entry/src/members.rs
@@ -51,17 +51,8 @@
             return Vec::new();
         }
         let mut acts = state.settlements();
-        acts.extend(
-            state
-                .silent_members(now, dead)
-                .into_iter()
-                .map(|inc| Act::Fence { inc }),
-        );
-        acts.extend(
-            self.ripe(&state, now, node.fresh())
-                .into_iter()
-                .map(|inc| Act::Fenced { inc }),
-        );
+        acts.extend(state.silent_members(now, dead).into_iter().map(|inc| Act::Fence { inc }));
+        acts.extend(self.ripe(&state, now, node.fresh()).into_iter().map(|inc| Act::Fenced { inc }));
         acts
     }
 
@@ -93,14 +84,8 @@
     /// True if a majority of the members is known to have applied an offset.
     #[must_use]
     pub fn applied_by_majority(&self, offset: u64) -> bool {
-        let peers = self
-            .tables
-            .voters()
-            .map(|(inc, _)| inc)
-            .filter(|inc| *inc != self.inc);
-        let applied = peers
-            .filter(|inc| self.fresh.applied_by(*inc).is_some_and(|a| a > offset))
-            .count();
+        let peers = self.tables.voters().map(|(inc, _)| inc).filter(|inc| *inc != self.inc);
+        let applied = peers.filter(|inc| self.fresh.applied_by(*inc).is_some_and(|a| a > offset)).count();
         let own = usize::from(self.tables.next > offset);
         applied + own > self.voters() / 2
     }
@@ -111,18 +96,11 @@
         if heard.len() < self.voters() / 2 {
             return Vec::new();
         }
-        let by_peers: BTreeSet<Incarnation> = heard
-            .iter()
-            .filter_map(|p| self.peers.get(p))
-            .flat_map(|p| p.hears.iter().copied())
-            .collect();
+        let by_peers: BTreeSet<Incarnation> =
+            heard.iter().filter_map(|p| self.peers.get(p)).flat_map(|p| p.hears.iter().copied()).collect();
         let silent = |inc: &Incarnation| *inc != self.inc && !heard.contains(inc) && !by_peers.contains(inc);
         let known_for = |inc: &Incarnation| self.peers.get(inc).is_some_and(|p| now - p.since > dead);
-        self.tables
-            .live()
-            .map(|(inc, _)| inc)
-            .filter(|inc| silent(inc) && known_for(inc))
-            .collect()
+        self.tables.live().map(|(inc, _)| inc).filter(|inc| silent(inc) && known_for(inc)).collect()
     }
 
     /// Settlements that this host owes about members that are being shut out.
@@ -130,23 +108,13 @@
         let owed = |(inc, m): &(&Incarnation, &fold::Member)| {
             **inc != self.inc && m.state != MemberState::Live && !m.settled.contains(&self.inc)
         };
-        self.tables
-            .members
-            .iter()
-            .filter(owed)
-            .map(|(inc, _)| self.settlement(*inc))
-            .collect()
+        self.tables.members.iter().filter(owed).map(|(inc, _)| self.settlement(*inc)).collect()
     }
 
     fn settlement(&self, about: Incarnation) -> Act {
-        let net = self.purses.iter().map(|(team, p)| TeamUnits {
-            team: team.clone(),
-            units: p.net_from(about),
-        });
-        Act::Settle {
-            about,
-            net: net.filter(|n| n.units != 0).collect(),
-        }
+        let net =
+            self.purses.iter().map(|(team, p)| TeamUnits { team: team.clone(), units: p.net_from(about) });
+        Act::Settle { about, net: net.filter(|n| n.units != 0).collect() }
     }
 }
 
@@ -158,11 +126,7 @@
         if dead.is_empty() || !state.tables.all_settled() {
             return;
         }
-        let workers: Vec<_> = state
-            .workers
-            .iter()
-            .map(|(n, w)| (n.clone(), w.info.addr.clone()))
-            .collect();
+        let workers: Vec<_> = state.workers.iter().map(|(n, w)| (n.clone(), w.info.addr.clone())).collect();
         (dead, workers)
     };
     let mut running = Vec::new();
@@ -180,15 +144,8 @@
         }
     }
     let count = dead.len();
-    if matches!(
-        node.propose(Act::Reclaim { dead, running }, LOG_WAIT).await,
-        Proposed::Folded(_)
-    ) {
-        node.note(Event {
-            kind: "reclaim".into(),
-            note: format!("{count} members"),
-            ..Event::default()
-        });
+    if matches!(node.propose(Act::Reclaim { dead, running }, LOG_WAIT).await, Proposed::Folded(_)) {
+        node.note(Event { kind: "reclaim".into(), note: format!("{count} members"), ..Event::default() });
     }
 }
 
@@ -196,19 +153,8 @@
 async fn release_kept(node: &Node) {
     let kept: Vec<(KeptTask, Option<String>)> = {
         let state = node.state.lock();
-        let addr = |worker: &str| {
-            state
-                .workers
-                .get(worker)
-                .filter(|w| w.listed)
-                .map(|w| w.info.addr.clone())
-        };
-        state
-            .tables
-            .kept
-            .values()
-            .map(|t| (t.clone(), addr(&t.worker)))
-            .collect()
+        let addr = |worker: &str| state.workers.get(worker).filter(|w| w.listed).map(|w| w.info.addr.clone());
+        state.tables.kept.values().map(|t| (t.clone(), addr(&t.worker))).collect()
     };
     let mut over = Vec::new();
     for (task, addr) in kept {
--- a/components/entry/src/node.rs
+++ b/components/entry/src/node.rs
@@ -162,11 +162,7 @@
     join(&node).await;
     spawn_systems(&node, &mut tasks);
     tasks.spawn(serve::listen(Arc::clone(&node), listeners.callers));
-    tracing::info!(
-        "node: {} serves as incarnation {:016x}",
-        node.settings.name,
-        node.inc
-    );
+    tracing::info!("node: {} serves as incarnation {:016x}", node.settings.name, node.inc);
     let end = tokio::select! {
         end = tail => end.unwrap_or(Ok(())),
         () = fenced(&node) => Err(Error::Fenced),
@@ -212,11 +208,7 @@
         zone: node.settings.zone.clone(),
     };
     while !matches!(node.propose(act.clone(), JOIN_WAIT).await, Proposed::Folded(_)) {}
-    node.note(Event {
-        kind: "join".into(),
-        zone: node.settings.zone.clone(),
-        ..Event::default()
-    });
+    node.note(Event { kind: "join".into(), zone: node.settings.zone.clone(), ..Event::default() });
 }
 
 fn spawn_systems(node: &Arc<Node>, tasks: &mut tokio::task::JoinSet<()>) {
--- a/components/entry/src/once.rs
+++ b/components/entry/src/once.rs
@@ -43,9 +43,7 @@
 
 impl Default for RetryBudget {
     fn default() -> Self {
-        Self {
-            hundredths: Mutex::new(MAX_EARNED / 10),
-        }
+        Self { hundredths: Mutex::new(MAX_EARNED / 10) }
     }
 }
 
@@ -144,13 +142,7 @@
             self.worker_answered(&hold.worker, false, None);
             return Round::Higher(round);
         };
-        let claim = Claim {
-            id: id.to_owned(),
-            round,
-            owner: self.inc,
-            worker: hold.worker.clone(),
-            boot,
-        };
+        let claim = Claim { id: id.to_owned(), round, owner: self.inc, worker: hold.worker.clone(), boot };
         let (poll, next) = self.offer_to_members(&claim).await;
         let (starts, others) = match next {
             Next::Start(others) => (true, others),
@@ -169,24 +161,16 @@
 
     /// A refusal by admission is only true if no earlier claim on the key has run.
     async fn refuse_round(&self, id: &str, fault: Fault, work: &Work) -> Done {
-        let probe = Claim {
-            id: id.to_owned(),
-            round: 0,
-            owner: self.inc,
-            worker: String::new(),
-            boot: 0,
-        };
+        let probe = Claim { id: id.to_owned(), round: 0, owner: self.inc, worker: String::new(), boot: 0 };
         let members = self.state.lock().voters();
         let (poll, _) = self.offer_to_members(&probe).await;
         match poll.next(members) {
-            Next::Wait => Err(Fault::may_have_run(format!(
-                "{}; no majority of entry hosts answers",
-                fault.reason
-            ))),
-            Next::Start(others) | Next::Retry(others) => self
-                .settle_claims(&others, work.deadline)
-                .await
-                .unwrap_or(Err(fault)),
+            Next::Wait => {
+                Err(Fault::may_have_run(format!("{}; no majority of entry hosts answers", fault.reason)))
+            }
+            Next::Start(others) | Next::Retry(others) => {
+                self.settle_claims(&others, work.deadline).await.unwrap_or(Err(fault))
+            }
         }
     }
 
@@ -215,10 +199,7 @@
         for claim in others.iter().filter(|c| !c.worker.is_empty()) {
             let view = self.state.lock().workers.get(&claim.worker).cloned();
             let Some(view) = view else {
-                return Some(Err(Fault::may_have_run(format!(
-                    "worker {} is gone",
-                    claim.worker
-                ))));
+                return Some(Err(Fault::may_have_run(format!("worker {} is gone", claim.worker))));
             };
             match self.settle(&view.info.addr, &task_id(claim), deadline).await {
                 Settled::Ended(answer) => return Some(Ok(answer)),
@@ -227,10 +208,7 @@
             }
             // A worker that restarted has forgotten what it ran before.
             if self.edges.workers.usage(&view.info.addr).await.map(|u| u.boot) != Ok(claim.boot) {
-                return Some(Err(Fault::may_have_run(format!(
-                    "worker {} has restarted",
-                    claim.worker
-                ))));
+                return Some(Err(Fault::may_have_run(format!("worker {} has restarted", claim.worker))));
             }
         }
         None
@@ -275,12 +253,8 @@
 async fn wait_result(mut result: watch::Receiver<Option<Done>>, deadline: Instant) -> Done {
     let done = timeout(left(deadline), result.wait_for(Option::is_some)).await;
     match done {
-        Ok(Ok(done)) => done
-            .clone()
-            .unwrap_or_else(|| Err(Fault::may_have_run("result is lost"))),
-        _ => Err(Fault::may_have_run(
-            "the first request with this key has no result yet",
-        )),
+        Ok(Ok(done)) => done.clone().unwrap_or_else(|| Err(Fault::may_have_run("result is lost"))),
+        _ => Err(Fault::may_have_run("the first request with this key has no result yet")),
     }
 }
 
--- a/components/entry/src/peers.rs
+++ b/components/entry/src/peers.rs
@@ -66,13 +66,7 @@
         let (sender, receiver) = mpsc::unbounded_channel();
         for call in self.links.calls.lock().values() {
             let (reply, answer) = oneshot::channel();
-            if call
-                .try_send(PeerCall {
-                    body: body.clone(),
-                    reply,
-                })
-                .is_ok()
-            {
+            if call.try_send(PeerCall { body: body.clone(), reply }).is_ok() {
                 let sender = sender.clone();
                 tokio::spawn(async move {
                     if let Ok(Ok(body)) = timeout(CALL_TIME, answer).await {
@@ -107,11 +101,7 @@
     while let Ok(envelope) = link.recv().await {
         let clock = node.events.clock().observe(envelope.clock, wall_ms());
         let body = envelope.body.and_then(|body| node.answer_peer(link.peer, body));
-        let reply = Envelope {
-            id: envelope.id,
-            clock,
-            body,
-        };
+        let reply = Envelope { id: envelope.id, clock, body };
         if link.send(&reply).await.is_err() {
             return;
         }
@@ -133,12 +123,7 @@
         let mut state = self.state.lock();
         state.hear(peer, beat);
         let given = state.give_to(peer, &beat.needs);
-        Beat {
-            incarnation: self.inc,
-            applied: state.tables.next,
-            given,
-            ..Beat::default()
-        }
+        Beat { incarnation: self.inc, applied: state.tables.next, given, ..Beat::default() }
     }
 
     fn answer_claim(&self, message: &wire::ClaimMessage) -> ClaimReply {
@@ -148,46 +133,26 @@
                 silent: false,
                 others: reply.others.iter().map(message_of).collect(),
             },
-            None => ClaimReply {
-                silent: true,
-                ..ClaimReply::default()
-            },
+            None => ClaimReply { silent: true, ..ClaimReply::default() },
         }
     }
 
     fn answer_copy(&self, copy: &CopyClaims) -> Claims {
         let state = self.state.lock();
         if !state.synced {
-            return Claims {
-                last: true,
-                ..Claims::default()
-            };
+            return Claims { last: true, ..Claims::default() };
         }
         let skip = usize::try_from(copy.skip).unwrap_or(usize::MAX);
-        let claims: Vec<_> = state
-            .claims
-            .iter()
-            .skip(skip)
-            .take(CLAIMS_PER_PAGE)
-            .map(message_of)
-            .collect();
+        let claims: Vec<_> = state.claims.iter().skip(skip).take(CLAIMS_PER_PAGE).map(message_of).collect();
         let last = claims.len() < CLAIMS_PER_PAGE;
-        Claims {
-            claims,
-            last,
-            synced: true,
-        }
+        Claims { claims, last, synced: true }
     }
 }
 
 impl State {
     /// Takes in what a peer says with a heartbeat.
     fn hear(&mut self, peer: Incarnation, beat: &Beat) {
-        let live = self
-            .tables
-            .members
-            .get(&peer)
-            .is_some_and(|m| m.state == MemberState::Live);
+        let live = self.tables.members.get(&peer).is_some_and(|m| m.state == MemberState::Live);
         let Some(view) = self.peers.get_mut(&peer) else {
             return;
         };
@@ -195,13 +160,7 @@
         view.hears.clone_from(&beat.heard);
         view.leaving = beat.leaving;
         for load in &beat.running {
-            view.load.insert(
-                load.team.clone(),
-                TeamLoad {
-                    running: load.tasks,
-                    waiting: load.waiting,
-                },
-            );
+            view.load.insert(load.team.clone(), TeamLoad { running: load.tasks, waiting: load.waiting });
         }
         view.needs = beat.needs.iter().map(|n| (n.team.clone(), n.units)).collect();
         if live {
@@ -212,21 +171,13 @@
     /// Merges units that a live peer has given.
     fn receive(&mut self, peer: Incarnation, given: &[Given]) {
         for units in given {
-            self.purses
-                .entry(units.team.clone())
-                .or_default()
-                .receive(peer, units.counter);
+            self.purses.entry(units.team.clone()).or_default().receive(peer, units.counter);
         }
     }
 
     /// Gives a live peer some of what it lacks; yields all counters for it.
     fn give_to(&mut self, peer: Incarnation, needs: &[Need]) -> Vec<Given> {
-        if self
-            .tables
-            .members
-            .get(&peer)
-            .is_none_or(|m| m.state != MemberState::Live)
-        {
+        if self.tables.members.get(&peer).is_none_or(|m| m.state != MemberState::Live) {
             return Vec::new();
         }
         for need in needs {
@@ -248,19 +199,13 @@
     }
 
     fn counters_for(&self, peer: Incarnation) -> Vec<Given> {
-        let given = self.purses.iter().map(|(team, p)| Given {
-            team: team.clone(),
-            counter: p.given_to(peer),
-        });
+        let given =
+            self.purses.iter().map(|(team, p)| Given { team: team.clone(), counter: p.given_to(peer) });
         given.filter(|g| g.counter > 0).collect()
     }
 
     fn beat_for(&mut self, peer: Incarnation, heard: &[Incarnation]) -> Beat {
-        let live = self
-            .tables
-            .members
-            .get(&peer)
-            .is_some_and(|m| m.state == MemberState::Live);
+        let live = self.tables.members.get(&peer).is_some_and(|m| m.state == MemberState::Live);
         Beat {
             incarnation: self.inc,
             applied: self.tables.next,
@@ -280,16 +225,9 @@
             return changes;
         };
         for (team, purse) in &self.purses {
-            let load = TeamLoad {
-                running: purse.used(),
-                waiting: self.queues.waiting(team),
-            };
+            let load = TeamLoad { running: purse.used(), waiting: self.queues.waiting(team) };
             if view.sent.insert(team.clone(), load) != Some(load) {
-                changes.push(Running {
-                    team: team.clone(),
-                    tasks: load.running,
-                    waiting: load.waiting,
-                });
+                changes.push(Running { team: team.clone(), tasks: load.running, waiting: load.waiting });
             }
         }
         changes
@@ -299,37 +237,25 @@
     #[must_use]
     pub fn heard_within(&self, now: Instant, time: Duration) -> Vec<Incarnation> {
         let lately = |at: Option<Instant>| at.is_some_and(|at| now.saturating_duration_since(at) < time);
-        self.peers
-            .iter()
-            .filter(|(_, p)| lately(p.heard))
-            .map(|(inc, _)| *inc)
-            .collect()
+        self.peers.iter().filter(|(_, p)| lately(p.heard)).map(|(inc, _)| *inc).collect()
     }
 }
 
 fn entries_from(state: &State, from: u64) -> LogEntries {
     let mut bytes = 0;
-    let wanted = state
-        .recent
-        .iter()
-        .skip_while(|e| e.offset < from)
-        .take(ENTRIES_PER_PAGE);
+    let wanted = state.recent.iter().skip_while(|e| e.offset < from).take(ENTRIES_PER_PAGE);
     let fits = wanted.take_while(|e| {
         bytes += e.data.len();
         bytes < ENTRY_BYTES_PER_PAGE
     });
     let entries: Vec<RawEntry> = fits.cloned().collect();
     let whole = entries.first().is_some_and(|e| e.offset == from);
-    LogEntries {
-        entries: if whole { entries } else { Vec::new() },
-    }
+    LogEntries { entries: if whole { entries } else { Vec::new() } }
 }
 
 /// Dials all members and beats with them until the node stops.
 pub async fn beat(node: Arc<Node>) {
-    let ticks = node
-        .timer
-        .every(Duration::from_millis(node.settings.timing.beat_ms));
+    let ticks = node.timer.every(Duration::from_millis(node.settings.timing.beat_ms));
     loop {
         keep_links(&node);
         beat_all(&node);
@@ -344,12 +270,7 @@
 fn keep_links(node: &Arc<Node>) {
     let members: Vec<(Incarnation, String)> = {
         let state = node.state.lock();
-        state
-            .tables
-            .voters()
-            .filter(|(inc, _)| *inc != node.inc)
-            .map(|(i, m)| (i, m.peer.clone()))
-            .collect()
+        state.tables.voters().filter(|(inc, _)| *inc != node.inc).map(|(i, m)| (i, m.peer.clone())).collect()
     };
     let wanted: BTreeSet<Incarnation> = members.iter().map(|(inc, _)| *inc).collect();
     let mut calls = node.links.calls.lock();
@@ -398,12 +319,7 @@
 /// Dials from this host's own peer address, so that the network can tell who dials.
 async fn connect_from(source: IpAddr, addr: &str) -> Option<TcpStream> {
     let addr: SocketAddr = addr.parse().ok()?;
-    let socket = if source.is_ipv4() {
-        TcpSocket::new_v4()
-    } else {
-        TcpSocket::new_v6()
-    }
-    .ok()?;
+    let socket = if source.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }.ok()?;
     socket.bind(SocketAddr::new(source, 0)).ok()?;
     let stream = socket.connect(addr).await.ok()?;
     stream.set_nodelay(true).ok()?;
@@ -515,9 +431,7 @@
 
 /// Copies the claims of a majority, once this host's join is in force; then it may vote on claims.
 pub async fn sync_claims(node: Arc<Node>) {
-    let ticks = node
-        .timer
-        .every(Duration::from_millis(node.settings.timing.beat_ms));
+    let ticks = node.timer.every(Duration::from_millis(node.settings.timing.beat_ms));
     let mut sync = Sync::default();
     while !sync.is_over(&node) {
         for peer in sync.peers_to_copy(&node) {
@@ -562,20 +476,14 @@
         if count < peers.len() && since.elapsed() < node.fresh() {
             return Vec::new();
         }
-        peers
-            .into_iter()
-            .filter(|p| self.copied.get(p) != Some(&Copied::Claims))
-            .collect()
+        peers.into_iter().filter(|p| self.copied.get(p) != Some(&Copied::Claims)).collect()
     }
 
     /// True once every majority shares a copied member, or all members are copied.
     fn is_over(&self, node: &Node) -> bool {
         let mut state = node.state.lock();
         let peers = others(&state);
-        let voted = peers
-            .iter()
-            .filter(|p| self.copied.get(p) == Some(&Copied::Claims))
-            .count();
+        let voted = peers.iter().filter(|p| self.copied.get(p) == Some(&Copied::Claims)).count();
         let all = peers.iter().all(|p| self.copied.contains_key(p));
         let members = state.voters();
         if state.is_live() && (all || voted >= members - members / 2) {
@@ -586,12 +494,7 @@
 }
 
 fn others(state: &State) -> Vec<Incarnation> {
-    state
-        .tables
-        .voters()
-        .map(|(inc, _)| inc)
-        .filter(|inc| *inc != state.inc)
-        .collect()
+    state.tables.voters().map(|(inc, _)| inc).filter(|inc| *inc != state.inc).collect()
 }
 
 async fn copy_claims(node: &Node, peer: Incarnation) -> Option<Copied> {
@@ -605,11 +508,7 @@
         let mut state = node.state.lock();
         page.claims.iter().for_each(|c| state.claims.copy(&claim_of(c)));
         if page.last {
-            return Some(if page.synced {
-                Copied::Claims
-            } else {
-                Copied::Nothing
-            });
+            return Some(if page.synced { Copied::Claims } else { Copied::Nothing });
         }
     }
 }
--- a/components/entry/src/report.rs
+++ b/components/entry/src/report.rs
@@ -102,16 +102,9 @@
     }
 
     fn place_rows(&self) -> Vec<Value> {
-        let outages = self
-            .tables
-            .outages
-            .iter()
-            .map(|p| json!({ "place": p.to_string(), "state": "out" }));
-        let drains = self
-            .tables
-            .drains
-            .iter()
-            .map(|p| json!({ "place": p.to_string(), "state": "draining" }));
+        let outages = self.tables.outages.iter().map(|p| json!({ "place": p.to_string(), "state": "out" }));
+        let drains =
+            self.tables.drains.iter().map(|p| json!({ "place": p.to_string(), "state": "draining" }));
         outages.chain(drains).collect()
     }
 
@@ -128,11 +121,8 @@
 
     fn member_rows(&self) -> Vec<Value> {
         let row = |(inc, member): (&fold::Incarnation, &fold::Member)| {
-            let heard = self
-                .peers
-                .get(inc)
-                .and_then(|p| p.heard)
-                .map(|at| at.elapsed().as_millis().to_string());
+            let heard =
+                self.peers.get(inc).and_then(|p| p.heard).map(|at| at.elapsed().as_millis().to_string());
             json!({
                 "host": member.host, "incarnation": format!("{inc:016x}"), "zone": member.zone,
                 "admin": member.admin, "state": member.state, "applied": self.fresh.applied_by(*inc),
--- a/components/entry/src/serve.rs
+++ b/components/entry/src/serve.rs
@@ -27,6 +27,7 @@
 const URGENT_HEADER: &str = "x-urgent";
 const RERUN_HEADER: &str = "x-rerun";
 const MAX_KEY_BYTES: usize = 256;
+const CATCH_UP_PAUSE: Duration = Duration::from_millis(20);
 const PAUSE_BEFORE_RETRY: Duration = Duration::from_millis(20);
 
 /// A request that has passed the key check.
@@ -79,11 +80,7 @@
 fn get_ready(node: Data<&Arc<Node>>) -> StatusCode {
     let state = node.state.lock();
     let ready = !state.leaving && state.fresh_until(Instant::now(), node.fresh()).is_some();
-    if ready {
-        StatusCode::OK
-    } else {
-        StatusCode::SERVICE_UNAVAILABLE
-    }
+    if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }
 }
 
 #[handler]
@@ -142,14 +139,10 @@
 
     /// Retries a request that did not run, within its deadline.
     async fn run_single(self: &Arc<Self>, work: &Work) -> Result<Answer, Fault> {
-        let mut avoid = None;
+        let mut ask = work.ask.clone();
         loop {
-            let ask = Ask {
-                avoid: avoid.clone(),
-                ..work.ask.clone()
-            };
             let hold = self.admit(&ask, self.queue_until(work.deadline)).await?;
-            let zone = hold.zone.clone();
+            let place = hold.place();
             match self.attempt(hold, &work.task(), work.deadline).await {
                 Tried::Answered(answer) => return Ok(answer),
                 Tried::Unknown { reason } => return Err(Fault::may_have_run(reason)),
@@ -157,7 +150,7 @@
                     return Err(Fault::not_run(reason));
                 }
                 Tried::NotRun { full, .. } => {
-                    avoid = (!full).then_some(zone);
+                    ask.failed.extend((!full).then_some(place));
                     tokio::time::sleep(PAUSE_BEFORE_RETRY).await;
                 }
             }
@@ -171,7 +164,7 @@
         self.registry.budget.earn(self.settings.limits.retry_percent);
         loop {
             let hold = self.admit(&ask, self.queue_until(work.deadline)).await?;
-            let zone = hold.zone.clone();
+            let place = hold.place();
             let tried = self.attempt(hold, &work.task(), self.try_until(work)).await;
             let done = match tried {
                 Tried::Answered(answer) if !answer.status.is_server_error() => return Ok(answer),
@@ -190,15 +183,14 @@
                 return done;
             }
             metrics::counter!("lagoonrelay_retries_total").increment(1);
-            ask.avoid = Some(zone);
+            ask.failed.push(place);
         }
     }
 
     /// Leaves time for one more try within the deadline.
     fn try_until(&self, work: &Work) -> Instant {
         let half = Instant::now() + left(work.deadline) / 2;
-        half.max(Instant::now() + Duration::from_millis(self.settings.timing.probe_ms))
-            .min(work.deadline)
+        half.max(Instant::now() + Duration::from_millis(self.settings.timing.probe_ms)).min(work.deadline)
     }
 }
 
@@ -206,12 +198,7 @@
     /// A task with a new id.
     fn task(&self) -> Task {
         let id = format!("r{:016x}{:016x}", rand::random::<u64>(), rand::random::<u64>());
-        Task {
-            id,
-            kind: TaskKind::Request,
-            path: self.path.clone(),
-            body: self.body.clone(),
-        }
+        Task { id, kind: TaskKind::Request, path: self.path.clone(), body: self.body.clone() }
     }
 }
 
@@ -231,20 +218,8 @@
     let longest = node.settings.timing.deadline_ms;
     let time = Duration::from_millis(asked.unwrap_or(longest).min(longest));
     let team = ask.team.clone();
-    let path = request
-        .uri()
-        .path_and_query()
-        .map(ToString::to_string)
-        .unwrap_or_default();
-    Ok((
-        Work {
-            ask,
-            path,
-            body: bytes,
-            deadline: Instant::now() + time,
-        },
-        team,
-    ))
+    let path = request.uri().path_and_query().map(ToString::to_string).unwrap_or_default();
+    Ok((Work { ask, path, body: bytes, deadline: Instant::now() + time }, team))
 }
 
 /// Finds the team that is charged, before anything is queued.
@@ -261,21 +236,13 @@
         reason: format!("there is no queue {queue}"),
     })?;
     let team = match bearer(request) {
-        Some(secret) => node
-            .team_of(&state.tables, secret)
-            .ok_or_else(|| unauthorized("key is not granted"))?,
-        None => found
-            .open
-            .clone()
-            .ok_or_else(|| unauthorized("a key is needed"))?,
+        Some(secret) => {
+            node.team_of(&state.tables, secret).ok_or_else(|| unauthorized("key is not granted"))?
+        }
+        None => found.open.clone().ok_or_else(|| unauthorized("a key is needed"))?,
     };
     let urgent = request.header(URGENT_HEADER) == Some("true");
-    Ok(Ask {
-        team,
-        pool: found.pool.clone(),
-        urgent,
-        avoid: None,
-    })
+    Ok(Ask { team, pool: found.pool.clone(), urgent, failed: Vec::new() })
 }
 
 /// Team of the key that came with a request for jobs.
@@ -285,8 +252,7 @@
         return Err(unavailable("this host cannot confirm its configuration"));
     }
     let secret = bearer(request).ok_or_else(|| unauthorized("a key is needed"))?;
-    node.team_of(&state.tables, secret)
-        .ok_or_else(|| unauthorized("key is not granted"))
+    node.team_of(&state.tables, secret).ok_or_else(|| unauthorized("key is not granted"))
 }
 
 /// Secret of the authorization header.
@@ -296,22 +262,13 @@
 
 fn repeat_of(request: &Request, team: &str) -> Result<Repeat, Refusal> {
     let Some(key) = request.header(KEY_HEADER) else {
-        let idempotent = [
-            Method::GET,
-            Method::HEAD,
-            Method::PUT,
-            Method::DELETE,
-            Method::OPTIONS,
-        ];
+        let idempotent = [Method::GET, Method::HEAD, Method::PUT, Method::DELETE, Method::OPTIONS];
         let same = idempotent.contains(request.method());
         return Ok(if same { Repeat::Idempotent } else { Repeat::Single });
     };
     if key.is_empty() || key.len() > MAX_KEY_BYTES {
         let reason = format!("{KEY_HEADER} must have 1 to {MAX_KEY_BYTES} bytes");
-        return Err(Refusal {
-            status: StatusCode::BAD_REQUEST,
-            reason,
-        });
+        return Err(Refusal { status: StatusCode::BAD_REQUEST, reason });
     }
     let mut hasher = blake3::Hasher::new();
     hasher.update(team.as_bytes());
@@ -376,6 +333,9 @@
         Ok(team) => team,
         Err(refusal) => return refusal.response(),
     };
+    if let Err(refusal) = find_job(&node, &team, &id).await {
+        return refusal.response();
+    }
     let wait = request.uri().query().is_some_and(|q| q.contains("wait"));
     let until = Instant::now() + Duration::from_millis(node.settings.timing.deadline_ms);
     loop {
@@ -397,19 +357,11 @@
         Ok(team) => team,
         Err(refusal) => return refusal.response(),
     };
-    if own_job(&node, &team, &id).is_none() {
-        return missing_job(&id).response();
+    if let Err(refusal) = find_job(&node, &team, &id).await {
+        return refusal.response();
     }
     let wait = Duration::from_millis(node.settings.timing.deadline_ms);
-    match node
-        .propose(
-            Act::JobCancel {
-                jobs: vec![id.clone()],
-            },
-            wait,
-        )
-        .await
-    {
+    match node.propose(Act::JobCancel { jobs: vec![id.clone()] }, wait).await {
         Proposed::Folded(Outcome::Applied(_)) => accepted(&id),
         Proposed::Folded(Outcome::Void(reason)) => unavailable(&reason.to_string()).response(),
         Proposed::Withdrawn => unavailable("the log does not answer").response(),
@@ -417,15 +369,38 @@
     }
 }
 
+/// A job, after this host has caught up if it does not know it yet.
+async fn find_job(node: &Node, team: &str, id: &str) -> Result<Job, Refusal> {
+    if let Some(job) = own_job(node, team, id) {
+        return Ok(job);
+    }
+    if !node.catch_up(Instant::now()).await {
+        return Err(unavailable("this host cannot confirm its tables"));
+    }
+    own_job(node, team, id).ok_or_else(|| missing_job(id))
+}
+
+impl Node {
+    /// Waits until all that was on the log at an instant is applied here; false if that takes too long.
+    async fn catch_up(&self, since: Instant) -> bool {
+        let until = since + 2 * Duration::from_millis(self.settings.timing.call_ms);
+        loop {
+            let changed = self.applied.notified();
+            self.tail_kick.notify_one();
+            if self.state.lock().read_log_since(since) {
+                return true;
+            }
+            if left(until) == Duration::ZERO {
+                return false;
+            }
+            let _ = tokio::time::timeout(left(until).min(CATCH_UP_PAUSE), changed).await;
+        }
+    }
+}
+
 /// A job, unless it belongs to another team.
 fn own_job(node: &Node, team: &str, id: &str) -> Option<Job> {
-    node.state
-        .lock()
-        .tables
-        .jobs
-        .get(id)
-        .filter(|job| job.team == team)
-        .cloned()
+    node.state.lock().tables.jobs.get(id).filter(|job| job.team == team).cloned()
 }
 
 fn json_response(value: &impl serde::Serialize) -> Response {
@@ -436,10 +411,7 @@
 }
 
 fn missing_job(id: &str) -> Refusal {
-    Refusal {
-        status: StatusCode::NOT_FOUND,
-        reason: format!("there is no job {id}"),
-    }
+    Refusal { status: StatusCode::NOT_FOUND, reason: format!("there is no job {id}") }
 }
 
 fn leaving() -> Refusal {
@@ -447,32 +419,21 @@
 }
 
 fn unavailable(reason: &str) -> Refusal {
-    Refusal {
-        status: StatusCode::SERVICE_UNAVAILABLE,
-        reason: reason.to_owned(),
-    }
+    Refusal { status: StatusCode::SERVICE_UNAVAILABLE, reason: reason.to_owned() }
 }
 
 fn unauthorized(reason: &str) -> Refusal {
-    Refusal {
-        status: StatusCode::UNAUTHORIZED,
-        reason: reason.to_owned(),
-    }
+    Refusal { status: StatusCode::UNAUTHORIZED, reason: reason.to_owned() }
 }
 
 impl Refusal {
     fn response(self) -> Response {
         metrics::counter!("lagoonrelay_refusals_total", "status" => self.status.as_u16().to_string())
             .increment(1);
-        let builder = Response::builder()
-            .status(self.status)
-            .header(VERDICT_HEADER, Verdict::NotRun.as_str());
+        let builder =
+            Response::builder().status(self.status).header(VERDICT_HEADER, Verdict::NotRun.as_str());
         let busy = self.status == StatusCode::SERVICE_UNAVAILABLE;
-        let builder = if busy {
-            builder.header(header::RETRY_AFTER, RETRY_AFTER_SECONDS)
-        } else {
-            builder
-        };
+        let builder = if busy { builder.header(header::RETRY_AFTER, RETRY_AFTER_SECONDS) } else { builder };
         builder.body(self.reason)
     }
 }
--- a/components/entry/src/state.rs
+++ b/components/entry/src/state.rs
@@ -156,10 +156,7 @@
     /// True if this host is a live member.
     #[must_use]
     pub fn is_live(&self) -> bool {
-        self.tables
-            .members
-            .get(&self.inc)
-            .is_some_and(|m| m.state == MemberState::Live)
+        self.tables.members.get(&self.inc).is_some_and(|m| m.state == MemberState::Live)
     }
 
     /// True if this host was a member and is shut out.
@@ -184,6 +181,15 @@
         (until > now).then_some(until)
     }
 
+    /// True if all that was on the log at an instant is applied here.
+    ///
+    /// A majority of the peers cannot tell: only the host that accepted a job may have applied it.
+    #[must_use]
+    pub fn read_log_since(&self, since: Instant) -> bool {
+        let now = Instant::now();
+        self.fresh.log_age(now).is_some_and(|age| age <= now.saturating_duration_since(since))
+    }
+
     /// Checks that a task may be started on a worker now; yields until when.
     ///
     /// # Errors
@@ -193,11 +199,7 @@
             return Err(Bar::Out);
         }
         let until = self.fresh_until(now, fresh).ok_or(Bar::Stale)?;
-        if self.in_service(worker) {
-            Ok(until)
-        } else {
-            Err(Bar::Place)
-        }
+        if self.in_service(worker) { Ok(until) } else { Err(Bar::Place) }
     }
 
     /// True if a worker is listed live, in a pool, and nothing around it is out.
@@ -272,16 +274,9 @@
     fn sync_peers(&mut self) {
         let tables = &self.tables;
         self.peers.retain(|inc, _| tables.members.contains_key(inc));
-        self.fresh.retain(|inc| {
-            tables
-                .members
-                .get(&inc)
-                .is_some_and(|m| m.state != MemberState::Fenced)
-        });
+        self.fresh.retain(|inc| tables.members.get(&inc).is_some_and(|m| m.state != MemberState::Fenced));
         for (inc, _) in tables.members.iter().filter(|(inc, _)| **inc != self.inc) {
-            self.peers
-                .entry(*inc)
-                .or_insert_with(|| PeerView::new(Instant::now()));
+            self.peers.entry(*inc).or_insert_with(|| PeerView::new(Instant::now()));
         }
     }
 
@@ -301,14 +296,7 @@
     pub fn staying(&self) -> Vec<Incarnation> {
         let leaves = |inc: &Incarnation| self.peers.get(inc).is_some_and(|p| p.leaving);
         let live = self.tables.live().map(|(inc, _)| inc);
-        live.filter(|inc| {
-            if *inc == self.inc {
-                !self.leaving
-            } else {
-                !leaves(inc)
-            }
-        })
-        .collect()
+        live.filter(|inc| if *inc == self.inc { !self.leaving } else { !leaves(inc) }).collect()
     }
 }
 
@@ -316,15 +304,7 @@
     /// A worker that has just been listed.
     #[must_use]
     pub const fn new(info: HostInfo) -> Self {
-        Self {
-            info,
-            listed: true,
-            boot: None,
-            inflight: 0,
-            reported: None,
-            failures: 0,
-            ejected: None,
-        }
+        Self { info, listed: true, boot: None, inflight: 0, reported: None, failures: 0, ejected: None }
     }
 
     /// Tasks that are thought to run there.
--- a/components/entry/src/tail.rs
+++ b/components/entry/src/tail.rs
@@ -72,9 +72,7 @@
 /// # Errors
 /// [`Error::Behind`] when entries that were not applied are gone.
 pub async fn run(node: Arc<Node>) -> Result<(), Error> {
-    let ticks = node
-        .timer
-        .every(Duration::from_millis(node.settings.timing.poll_ms));
+    let ticks = node.timer.every(Duration::from_millis(node.settings.timing.poll_ms));
     loop {
         tokio::select! {
             () = ticks.tick() => {}
@@ -106,10 +104,7 @@
     }
     for raw in page.entries {
         if raw.offset == state.tables.next {
-            state.apply(RawEntry {
-                offset: raw.offset,
-                data: raw.data,
-            });
+            state.apply(RawEntry { offset: raw.offset, data: raw.data });
         }
     }
     let reached = state.tables.next >= page.tail;
--- a/components/entry/src/timer.rs
+++ b/components/entry/src/timer.rs
@@ -33,11 +33,7 @@
     pub fn every(&self, period: Duration) -> Ticks {
         let wake = Arc::new(Notify::new());
         let next = Instant::now() + period;
-        self.entries.lock().push(Entry {
-            period,
-            next,
-            wake: Arc::clone(&wake),
-        });
+        self.entries.lock().push(Entry { period, next, wake: Arc::clone(&wake) });
         Ticks { wake }
     }
 
--- a/components/entry/src/units.rs
+++ b/components/entry/src/units.rs
@@ -19,10 +19,7 @@
         ticks.tick().await;
         let acts = node.state.lock().unit_acts();
         if !acts.is_empty() {
-            let calls: Vec<_> = acts
-                .into_iter()
-                .map(|act| propose_one(Arc::clone(&node), act))
-                .collect();
+            let calls: Vec<_> = acts.into_iter().map(|act| propose_one(Arc::clone(&node), act)).collect();
             for call in calls {
                 let _ = call.await;
             }
@@ -48,10 +45,7 @@
         }
         let live = i64::try_from(self.tables.live().count()).unwrap_or(1).max(1);
         let names: Vec<String> = self.tables.teams.keys().cloned().collect();
-        names
-            .into_iter()
-            .filter_map(|team| self.unit_act(team, live))
-            .collect()
+        names.into_iter().filter_map(|team| self.unit_act(team, live)).collect()
     }
 
     fn unit_act(&mut self, team: String, live: i64) -> Option<Act> {
@@ -75,10 +69,7 @@
     pub fn needs(&self) -> Vec<Need> {
         let lack = |(team, purse): (&String, &escrow::Purse)| {
             let units = self.queues.waiting(team) - purse.free();
-            (units > 0).then(|| Need {
-                team: team.clone(),
-                units,
-            })
+            (units > 0).then(|| Need { team: team.clone(), units })
         };
         self.purses.iter().filter_map(lack).collect()
     }
--- a/components/entry/src/workers.rs
+++ b/components/entry/src/workers.rs
@@ -11,9 +11,7 @@
 
 /// Reads the host list at its period until the node stops.
 pub async fn run(node: Arc<Node>) {
-    let ticks = node
-        .timer
-        .every(Duration::from_millis(node.settings.timing.list_ms));
+    let ticks = node.timer.every(Duration::from_millis(node.settings.timing.list_ms));
     loop {
         match node.edges.roster.hosts().await {
             Ok(hosts) => take_list(&mut node.state.lock(), hosts),
@@ -26,9 +24,7 @@
 
 fn take_list(state: &mut State, hosts: Vec<HostInfo>) {
     let names: BTreeSet<String> = hosts.iter().map(|h| h.name.clone()).collect();
-    state
-        .workers
-        .retain(|name, view| names.contains(name) || view.inflight > 0);
+    state.workers.retain(|name, view| names.contains(name) || view.inflight > 0);
     for (name, view) in &mut state.workers {
         view.listed = names.contains(name);
     }
--- a/components/escrow/tests/purse.rs
+++ b/components/escrow/tests/purse.rs
@@ -40,10 +40,7 @@
 
 #[gtest]
 fn keeps_the_sum_when_a_lost_transfer_is_settled() {
-    let mut ledger = Ledger {
-        limit: 4,
-        ..Ledger::default()
-    };
+    let mut ledger = Ledger { limit: 4, ..Ledger::default() };
     let mut live = purse(ledger.take(1, 4));
     live.give(2, 3);
     ledger.settle(1, 2, live.net_from(2));
@@ -57,10 +54,7 @@
 
 #[gtest]
 fn allots_nothing_while_a_lowered_limit_is_passed() {
-    let mut ledger = Ledger {
-        limit: 4,
-        ..Ledger::default()
-    };
+    let mut ledger = Ledger { limit: 4, ..Ledger::default() };
     ledger.take(1, 4);
     ledger.limit = 2;
     expect_eq!(ledger.take(2, 1), 0);
--- a/components/events/src/lib.rs
+++ b/components/events/src/lib.rs
@@ -26,9 +26,7 @@
     /// Stamp for a message received with a peer's stamp.
     pub fn observe(&self, stamp: u64, wall_ms: u64) -> u64 {
         let mut last = self.last.lock();
-        *last = (*last + 1)
-            .max(stamp.saturating_add(1))
-            .max(wall_ms << LOGICAL_BITS);
+        *last = (*last + 1).max(stamp.saturating_add(1)).max(wall_ms << LOGICAL_BITS);
         *last
     }
 }
@@ -78,12 +76,7 @@
     /// A store that keeps the newest `most` events.
     #[must_use]
     pub fn new(host: &str, most: usize) -> Self {
-        Self {
-            host: host.to_owned(),
-            most,
-            clock: Clock::default(),
-            events: Mutex::default(),
-        }
+        Self { host: host.to_owned(), most, clock: Clock::default(), events: Mutex::default() }
     }
 
     /// The clock that stamps events and messages.
@@ -96,11 +89,7 @@
     pub fn add(&self, wall_ms: u64, event: Event) {
         let mut events = self.events.lock();
         let stamp = self.clock.tick(wall_ms);
-        events.push_back(Event {
-            stamp,
-            host: self.host.clone(),
-            ..event
-        });
+        events.push_back(Event { stamp, host: self.host.clone(), ..event });
         if events.len() > self.most {
             events.pop_front();
         }
@@ -109,12 +98,7 @@
     /// Events after a stamp, oldest first.
     #[must_use]
     pub fn since(&self, stamp: u64) -> Vec<Event> {
-        self.events
-            .lock()
-            .iter()
-            .filter(|e| e.stamp > stamp)
-            .cloned()
-            .collect()
+        self.events.lock().iter().filter(|e| e.stamp > stamp).cloned().collect()
     }
 }
 
--- a/components/events/tests/order.rs
+++ b/components/events/tests/order.rs
@@ -4,11 +4,7 @@
 use googletest::prelude::*;
 
 fn event(kind: &str) -> Event {
-    Event {
-        kind: kind.into(),
-        team: "t".into(),
-        ..Event::default()
-    }
+    Event { kind: kind.into(), team: "t".into(), ..Event::default() }
 }
 
 #[gtest]
@@ -18,10 +14,8 @@
     let stamp = ahead.clock().tick(5_000);
     behind.clock().observe(stamp, 1_000);
     behind.add(1_000, event("received"));
-    let kinds: Vec<String> = merge(vec![behind.since(0), ahead.since(0)])
-        .into_iter()
-        .map(|e| e.kind)
-        .collect();
+    let kinds: Vec<String> =
+        merge(vec![behind.since(0), ahead.since(0)]).into_iter().map(|e| e.kind).collect();
     expect_that!(kinds, elements_are![eq("sent"), eq("received")]);
 }
 
@@ -37,18 +31,6 @@
 
 #[gtest]
 fn can_filter_by_team() {
-    expect_true!(
-        Filter {
-            team: "t".into(),
-            ..Filter::default()
-        }
-        .matches(&event("x"))
-    );
-    expect_false!(
-        Filter {
-            team: "u".into(),
-            ..Filter::default()
-        }
-        .matches(&event("x"))
-    );
+    expect_true!(Filter { team: "t".into(), ..Filter::default() }.matches(&event("x")));
+    expect_false!(Filter { team: "u".into(), ..Filter::default() }.matches(&event("x")));
 }
--- a/components/fold/src/apply.rs
+++ b/components/fold/src/apply.rs
@@ -18,11 +18,7 @@
             return Vec::new();
         }
         self.seqs.insert(entry.by, entry.seq);
-        entry
-            .acts
-            .iter()
-            .map(|act| self.act(entry.by, offset, act))
-            .collect()
+        entry.acts.iter().map(|act| self.act(entry.by, offset, act)).collect()
     }
 
     /// Passes over an offset whose record is not an entry.
@@ -31,13 +27,7 @@
     }
 
     fn act(&mut self, by: Incarnation, offset: u64, act: &Act) -> Outcome {
-        if let Act::Configure {
-            who: _,
-            id,
-            version,
-            change,
-        } = act
-        {
+        if let Act::Configure { who: _, id, version, change } = act {
             return match self.writer_is_live(by) {
                 Ok(()) => self.configure(offset, id, *version, change),
                 Err(refusal) => Outcome::Void(refusal),
@@ -50,13 +40,7 @@
     }
 
     fn plain_act(&mut self, by: Incarnation, offset: u64, act: &Act) -> Applied {
-        if let Act::Join {
-            host,
-            peer,
-            admin,
-            zone,
-        } = act
-        {
+        if let Act::Join { host, peer, admin, zone } = act {
             self.join(by, Member::new(host, peer, admin, zone, offset));
             return Ok(());
         }
@@ -72,31 +56,11 @@
             Act::Take(units) => self.take(by, units),
             Act::GiveBack(units) => self.give_back(by, units),
             Act::Health { host, down } => self.set_health(host, *down),
-            Act::JobAccept {
-                job,
-                team,
-                queue,
-                path,
-                body,
-                rerun,
-            } => self.accept_job(
-                job,
-                Job {
-                    rerun: *rerun,
-                    ..Job::new(team, queue, path, body)
-                },
-            ),
-            Act::JobClaim {
-                job,
-                attempt,
-                worker,
-                boot,
-            } => {
-                let phase = JobPhase::Claimed {
-                    by,
-                    worker: worker.clone(),
-                    boot: *boot,
-                };
+            Act::JobAccept { job, team, queue, path, body, rerun } => {
+                self.accept_job(job, Job { rerun: *rerun, ..Job::new(team, queue, path, body) })
+            }
+            Act::JobClaim { job, attempt, worker, boot } => {
+                let phase = JobPhase::Claimed { by, worker: worker.clone(), boot: *boot };
                 self.claim_job(job, *attempt, phase)
             }
             Act::JobRelease { job, attempt, bad } => self.release_job(job, *attempt, *bad),
@@ -122,10 +86,7 @@
     }
 
     fn set_state(&mut self, offset: u64, inc: Incarnation, from: MemberState, to: MemberState) -> Applied {
-        let member = self
-            .members
-            .get_mut(&inc)
-            .ok_or_else(|| Refusal::Missing(format!("member {inc}")))?;
+        let member = self.members.get_mut(&inc).ok_or_else(|| Refusal::Missing(format!("member {inc}")))?;
         if member.state != from {
             return Err(Refusal::State(format!("member {inc} is not {from:?}")));
         }
@@ -135,10 +96,8 @@
     }
 
     fn settle(&mut self, by: Incarnation, about: Incarnation, net: &[TeamUnits]) -> Applied {
-        let member = self
-            .members
-            .get_mut(&about)
-            .ok_or_else(|| Refusal::Missing(format!("member {about}")))?;
+        let member =
+            self.members.get_mut(&about).ok_or_else(|| Refusal::Missing(format!("member {about}")))?;
         if member.state == MemberState::Live {
             return Err(Refusal::State(format!("member {about} is live")));
         }
@@ -155,9 +114,7 @@
 
     fn reclaim(&mut self, dead: &[Incarnation], running: &[KeptTask]) -> Applied {
         if dead != self.dead() || !self.all_settled() {
-            return Err(Refusal::State(
-                "other members are shut out or have not settled".into(),
-            ));
+            return Err(Refusal::State("other members are shut out or have not settled".into()));
         }
         for team in self.teams.values_mut() {
             team.ledger.reclaim(dead);
@@ -191,28 +148,19 @@
     }
 
     fn take(&mut self, by: Incarnation, units: &TeamUnits) -> Applied {
-        let team = self
-            .teams
-            .get_mut(&units.team)
-            .ok_or_else(|| Refusal::Missing(units.team.clone()))?;
+        let team = self.teams.get_mut(&units.team).ok_or_else(|| Refusal::Missing(units.team.clone()))?;
         team.ledger.take(by, units.units);
         Ok(())
     }
 
     fn give_back(&mut self, by: Incarnation, units: &TeamUnits) -> Applied {
-        let team = self
-            .teams
-            .get_mut(&units.team)
-            .ok_or_else(|| Refusal::Missing(units.team.clone()))?;
+        let team = self.teams.get_mut(&units.team).ok_or_else(|| Refusal::Missing(units.team.clone()))?;
         team.ledger.give_back(by, units.units);
         Ok(())
     }
 
     fn set_health(&mut self, name: &str, down: bool) -> Applied {
-        let host = self
-            .hosts
-            .get_mut(name)
-            .ok_or_else(|| Refusal::Missing(format!("host {name}")))?;
+        let host = self.hosts.get_mut(name).ok_or_else(|| Refusal::Missing(format!("host {name}")))?;
         host.down = down;
         Ok(())
     }
@@ -226,14 +174,9 @@
     }
 
     fn claim_job(&mut self, id: &str, attempt: u32, phase: JobPhase) -> Applied {
-        let job = self
-            .jobs
-            .get_mut(id)
-            .ok_or_else(|| Refusal::Missing(format!("job {id}")))?;
+        let job = self.jobs.get_mut(id).ok_or_else(|| Refusal::Missing(format!("job {id}")))?;
         if job.phase != JobPhase::Accepted || job.cancelled || attempt != job.attempt + 1 {
-            return Err(Refusal::State(format!(
-                "job {id} is not free for attempt {attempt}"
-            )));
+            return Err(Refusal::State(format!("job {id} is not free for attempt {attempt}")));
         }
         job.attempt = attempt;
         job.phase = phase;
@@ -241,10 +184,7 @@
     }
 
     fn release_job(&mut self, id: &str, attempt: u32, bad: bool) -> Applied {
-        let job = self
-            .jobs
-            .get_mut(id)
-            .ok_or_else(|| Refusal::Missing(format!("job {id}")))?;
+        let job = self.jobs.get_mut(id).ok_or_else(|| Refusal::Missing(format!("job {id}")))?;
         let JobPhase::Claimed { worker, .. } = &job.phase else {
             return Err(Refusal::State(format!("job {id} is not claimed")));
         };
@@ -259,10 +199,7 @@
     }
 
     fn end_job(&mut self, id: &str, outcome: &JobOutcome) -> Applied {
-        let job = self
-            .jobs
-            .get_mut(id)
-            .ok_or_else(|| Refusal::Missing(format!("job {id}")))?;
+        let job = self.jobs.get_mut(id).ok_or_else(|| Refusal::Missing(format!("job {id}")))?;
         if matches!(job.phase, JobPhase::Ended(_)) {
             return Err(Refusal::State(format!("job {id} has ended")));
         }
--- a/components/fold/src/change.rs
+++ b/components/fold/src/change.rs
@@ -55,36 +55,21 @@
         let object = change.object();
         let current = self.version(&object);
         match version {
-            Some(wanted) if wanted != current => Err(Refusal::Outdated {
-                object,
-                version: current,
-            }),
+            Some(wanted) if wanted != current => Err(Refusal::Outdated { object, version: current }),
             _ => Ok(()),
         }
     }
 
     fn need_pool(&self, name: &str) -> Applied {
-        if self.pools.contains_key(name) {
-            Ok(())
-        } else {
-            Err(Refusal::Missing(format!("pool {name}")))
-        }
+        if self.pools.contains_key(name) { Ok(()) } else { Err(Refusal::Missing(format!("pool {name}"))) }
     }
 
     fn need_team(&self, name: &str) -> Applied {
-        if self.teams.contains_key(name) {
-            Ok(())
-        } else {
-            Err(Refusal::Missing(format!("team {name}")))
-        }
+        if self.teams.contains_key(name) { Ok(()) } else { Err(Refusal::Missing(format!("team {name}"))) }
     }
 
     fn need_key(&self, name: &str) -> Applied {
-        if self.keys.contains_key(name) {
-            Ok(())
-        } else {
-            Err(Refusal::Missing(format!("key {name}")))
-        }
+        if self.keys.contains_key(name) { Ok(()) } else { Err(Refusal::Missing(format!("key {name}"))) }
     }
 
     fn check_grant(&self, name: &str, team: &str) -> Applied {
@@ -102,11 +87,7 @@
             let out = after.hosts_out(&name);
             let budget = self.pools.get(&name).map_or(0, |p| p.budget);
             if out > budget && out > self.hosts_out(&name) {
-                return Err(Refusal::Budget {
-                    pool: name,
-                    budget,
-                    out,
-                });
+                return Err(Refusal::Budget { pool: name, budget, out });
             }
         }
         Ok(())
@@ -129,10 +110,7 @@
     }
 
     fn pools_at(&self, place: &Place) -> BTreeSet<String> {
-        let inside = self
-            .hosts
-            .iter()
-            .filter(|(name, host)| places_of(name, host).contains(place));
+        let inside = self.hosts.iter().filter(|(name, host)| places_of(name, host).contains(place));
         inside.map(|(_, host)| host.pool.clone()).collect()
     }
 
@@ -141,34 +119,14 @@
             Change::Pool { name, budget } => {
                 self.pools.insert(name.clone(), Pool { budget: *budget });
             }
-            Change::Assign {
-                host,
-                pool,
-                rack,
-                zone,
-            } => self.assign(host, pool, rack, zone),
+            Change::Assign { host, pool, rack, zone } => self.assign(host, pool, rack, zone),
             Change::Team { name, share, limit } => self.set_team(name, *share, *limit),
             Change::Queue { name, pool, open } => {
-                self.queues.insert(
-                    name.clone(),
-                    Queue {
-                        pool: pool.clone(),
-                        open: open.clone(),
-                    },
-                );
+                self.queues.insert(name.clone(), Queue { pool: pool.clone(), open: open.clone() });
             }
-            Change::Grant {
-                name,
-                digest,
-                team,
-                operator,
-            } => {
-                let key = Key {
-                    digest: digest.clone(),
-                    team: team.clone(),
-                    operator: *operator,
-                    withdrawn: false,
-                };
+            Change::Grant { name, digest, team, operator } => {
+                let key =
+                    Key { digest: digest.clone(), team: team.clone(), operator: *operator, withdrawn: false };
                 self.keys.insert(name.clone(), key);
             }
             Change::Withdraw { name } => {
@@ -191,20 +149,13 @@
 
     fn assign(&mut self, name: &str, pool: &str, rack: &str, zone: &str) {
         let down = self.hosts.get(name).is_some_and(|h| h.down);
-        let host = Host {
-            pool: pool.to_owned(),
-            rack: rack.to_owned(),
-            zone: zone.to_owned(),
-            down,
-        };
+        let host = Host { pool: pool.to_owned(), rack: rack.to_owned(), zone: zone.to_owned(), down };
         self.hosts.insert(name.to_owned(), host);
     }
 
     fn set_team(&mut self, name: &str, share: u32, limit: i64) {
-        let team = self.teams.entry(name.to_owned()).or_insert_with(|| Team {
-            share,
-            ledger: Default::default(),
-        });
+        let team =
+            self.teams.entry(name.to_owned()).or_insert_with(|| Team { share, ledger: Default::default() });
         team.share = share;
         team.ledger.limit = limit;
     }
--- a/components/fold/src/checkpoint.rs
+++ b/components/fold/src/checkpoint.rs
@@ -15,12 +15,8 @@
     let text = serde_json::to_string(tables)?;
     let chunks = chunks(&text, bytes.max(1));
     let parts = u32::try_from(chunks.len()).unwrap_or(u32::MAX);
-    let act = |(part, text): (u32, &str)| Act::Checkpoint {
-        upto: tables.next,
-        part,
-        parts,
-        text: text.to_owned(),
-    };
+    let act =
+        |(part, text): (u32, &str)| Act::Checkpoint { upto: tables.next, part, parts, text: text.to_owned() };
     Ok((0..).zip(chunks).map(act).collect())
 }
 
@@ -48,13 +44,7 @@
 impl Assembler {
     /// Adds a part; yields the tables once all parts are there.
     pub fn add(&mut self, by: Incarnation, act: &Act) -> Option<Tables> {
-        let Act::Checkpoint {
-            upto,
-            part,
-            parts,
-            text,
-        } = act
-        else {
+        let Act::Checkpoint { upto, part, parts, text } = act else {
             return None;
         };
         let found = self.open.entry((by, *upto)).or_default();
--- a/components/fold/src/tables.rs
+++ b/components/fold/src/tables.rs
@@ -213,45 +213,31 @@
 impl Tables {
     /// Members that count for majorities.
     pub fn voters(&self) -> impl Iterator<Item = (Incarnation, &Member)> {
-        self.members
-            .iter()
-            .filter(|(_, m)| m.state != MemberState::Fenced)
-            .map(|(inc, m)| (*inc, m))
+        self.members.iter().filter(|(_, m)| m.state != MemberState::Fenced).map(|(inc, m)| (*inc, m))
     }
 
     /// Members that may start work.
     pub fn live(&self) -> impl Iterator<Item = (Incarnation, &Member)> {
-        self.members
-            .iter()
-            .filter(|(_, m)| m.state == MemberState::Live)
-            .map(|(inc, m)| (*inc, m))
+        self.members.iter().filter(|(_, m)| m.state == MemberState::Live).map(|(inc, m)| (*inc, m))
     }
 
     /// Incarnations that are shut out and whose units are not yet reclaimed.
     #[must_use]
     pub fn dead(&self) -> Vec<Incarnation> {
-        self.members
-            .iter()
-            .filter(|(_, m)| m.state == MemberState::Fenced)
-            .map(|(inc, _)| *inc)
-            .collect()
+        self.members.iter().filter(|(_, m)| m.state == MemberState::Fenced).map(|(inc, _)| *inc).collect()
     }
 
     /// True if every live member has settled with every incarnation shut out.
     #[must_use]
     pub fn all_settled(&self) -> bool {
         let fenced = self.members.values().filter(|m| m.state == MemberState::Fenced);
-        fenced
-            .into_iter()
-            .all(|m| self.members_but_fenced().all(|inc| m.settled.contains(&inc)))
+        fenced.into_iter().all(|m| self.members_but_fenced().all(|inc| m.settled.contains(&inc)))
     }
 
     /// True if the host or a place around it is out of service or draining.
     #[must_use]
     pub fn is_out(&self, name: &str, host: &Host) -> bool {
-        places_of(name, host)
-            .iter()
-            .any(|p| self.outages.contains(p) || self.drains.contains(p))
+        places_of(name, host).iter().any(|p| self.outages.contains(p) || self.drains.contains(p))
     }
 
     /// Hosts of a pool that are out of service, draining or down.
@@ -275,11 +261,7 @@
 
 /// The places that a host is in.
 pub(crate) fn places_of(name: &str, host: &Host) -> [Place; 3] {
-    [
-        Place::Host(name.to_owned()),
-        Place::Rack(host.rack.clone()),
-        Place::Zone(host.zone.clone()),
-    ]
+    [Place::Host(name.to_owned()), Place::Rack(host.rack.clone()), Place::Zone(host.zone.clone())]
 }
 
 impl Job {
--- a/components/lang/src/parse.rs
+++ b/components/lang/src/parse.rs
@@ -70,14 +70,8 @@
 
     /// The fault for the word that comes next.
     fn fault(&self, expected: &str) -> Fault {
-        let found = self
-            .peek()
-            .map_or_else(|| "the end".to_owned(), |w| format!("`{w}`"));
-        Fault {
-            place: self.at + 1,
-            found,
-            expected: expected.to_owned(),
-        }
+        let found = self.peek().map_or_else(|| "the end".to_owned(), |w| format!("`{w}`"));
+        Fault { place: self.at + 1, found, expected: expected.to_owned() }
     }
 
     /// The fault for the word just taken.
@@ -96,10 +90,7 @@
 
     fn name(&mut self, what: &str) -> Result<String, Fault> {
         let word = self.next(what)?;
-        if word
-            .chars()
-            .all(|c| c.is_ascii_alphanumeric() || "-_.".contains(c))
-        {
+        if word.chars().all(|c| c.is_ascii_alphanumeric() || "-_.".contains(c)) {
             return Ok(word.to_owned());
         }
         Err(self.fault_before(&format!("{what} of letters, digits, `-`, `_` and `.`")))
@@ -111,11 +102,7 @@
     }
 
     fn finish(&self) -> Result<(), Fault> {
-        if self.peek().is_none() {
-            Ok(())
-        } else {
-            Err(self.fault("the end"))
-        }
+        if self.peek().is_none() { Ok(()) } else { Err(self.fault("the end")) }
     }
 }
 
@@ -142,9 +129,7 @@
         "grant" => grant(words)?,
         "withdraw" => {
             words.expect("key")?;
-            Wanted::Change(Change::Withdraw {
-                name: words.name("a key name")?,
-            })
+            Wanted::Change(Change::Withdraw { name: words.name("a key name")? })
         }
         "take" => {
             words.expect("out")?;
@@ -165,12 +150,7 @@
 }
 
 fn conditions(wanted: Wanted, words: &mut Words<'_>) -> Result<Command, Fault> {
-    let mut command = Command {
-        wanted,
-        version: None,
-        id: None,
-        dry: false,
-    };
+    let mut command = Command { wanted, version: None, id: None, dry: false };
     while let Some(word) = words.peek() {
         words.at += 1;
         match word {
@@ -194,31 +174,20 @@
         "pool" => {
             let name = words.name("a pool name")?;
             words.expect("budget")?;
-            Ok(Wanted::Change(Change::Pool {
-                name,
-                budget: words.number("a number of hosts")?,
-            }))
+            Ok(Wanted::Change(Change::Pool { name, budget: words.number("a number of hosts")? }))
         }
         "team" => {
             let name = words.name("a team name")?;
             words.expect("share")?;
             let share = words.number("a whole number above 0")?;
             words.expect("limit")?;
-            Ok(Wanted::Change(Change::Team {
-                name,
-                share,
-                limit: limit(words)?,
-            }))
+            Ok(Wanted::Change(Change::Team { name, share, limit: limit(words)? }))
         }
         "queue" => {
             let name = words.name("a queue name")?;
             words.expect("pool")?;
             let pool = words.name("a pool name")?;
-            Ok(Wanted::Change(Change::Queue {
-                name,
-                pool,
-                open: open_team(words)?,
-            }))
+            Ok(Wanted::Change(Change::Queue { name, pool, open: open_team(words)? }))
         }
         _ => Err(words.fault_before("pool, team or queue")),
     }
@@ -242,10 +211,7 @@
     words.expect("host")?;
     let host = words.name("a host name")?;
     words.expect("pool")?;
-    Ok(Wanted::Assign {
-        host,
-        pool: words.name("a pool name")?,
-    })
+    Ok(Wanted::Assign { host, pool: words.name("a pool name")? })
 }
 
 fn grant(words: &mut Words<'_>) -> Result<Wanted, Fault> {
@@ -257,12 +223,7 @@
     let team = words.name("a team name")?;
     let operator = words.peek() == Some("operator");
     words.at += usize::from(operator);
-    Ok(Wanted::Grant {
-        name,
-        secret,
-        team,
-        operator,
-    })
+    Ok(Wanted::Grant { name, secret, team, operator })
 }
 
 fn place(words: &mut Words<'_>) -> Result<Place, Fault> {
--- a/components/lang/tests/lines.rs
+++ b/components/lang/tests/lines.rs
@@ -6,12 +6,7 @@
 use proptest::prelude::{ProptestConfig, proptest};
 
 fn command(wanted: Wanted) -> Command {
-    Command {
-        wanted,
-        version: None,
-        id: None,
-        dry: false,
-    }
+    Command { wanted, version: None, id: None, dry: false }
 }
 
 #[gtest]
@@ -22,25 +17,13 @@
 #[gtest]
 fn can_read_a_command_with_conditions() {
     let zone = Wanted::Change(Change::TakeOut(Place::Zone("z1".into())));
-    let wanted = Command {
-        version: Some(4),
-        id: Some("a-1".into()),
-        dry: true,
-        ..command(zone)
-    };
-    expect_eq!(
-        parse("take out zone z1 if version 4 dry run id a-1").unwrap(),
-        Statement::Command(wanted)
-    );
+    let wanted = Command { version: Some(4), id: Some("a-1".into()), dry: true, ..command(zone) };
+    expect_eq!(parse("take out zone z1 if version 4 dry run id a-1").unwrap(), Statement::Command(wanted));
 }
 
 #[gtest]
 fn can_read_an_open_queue() {
-    let queue = Change::Queue {
-        name: "q".into(),
-        pool: "p".into(),
-        open: Some("t".into()),
-    };
+    let queue = Change::Queue { name: "q".into(), pool: "p".into(), open: Some("t".into()) };
     expect_eq!(
         parse("set queue q pool p open team t").unwrap(),
         Statement::Command(command(Wanted::Change(queue)))
@@ -51,10 +34,7 @@
 fn errors_on_the_word_that_is_wrong() {
     let fault = parse("take out zone z/1").unwrap_err();
     expect_eq!(fault.place, 4);
-    expect_that!(
-        fault.to_string(),
-        contains_substring("word 4: found `z/1`, expected a zone name")
-    );
+    expect_that!(fault.to_string(), contains_substring("word 4: found `z/1`, expected a zone name"));
     expect_that!(
         parse("set team t share 1").unwrap_err().to_string(),
         contains_substring("found the end, expected `limit`")
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -5,5 +5,5 @@
 mod place;
 mod share;
 
-pub use place::{Candidate, Choice, choose};
+pub use place::{Avoid, Candidate, Choice, choose};
 pub use share::{Claimant, Pick, distance, max_min, pick};
--- a/components/policy/src/place.rs
+++ b/components/policy/src/place.rs
@@ -20,8 +20,20 @@
     pub load: u32,
     /// Tasks that it runs at once.
     pub slots: u32,
-    /// True if it is in the zone where the request has just failed.
-    pub avoid: bool,
+    /// How much the request should keep away from it.
+    pub avoid: Avoid,
+}
+
+/// How much a request should keep away from a worker.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Avoid {
+    /// Not at all.
+    #[default]
+    No,
+    /// The request has failed in its zone.
+    Zone,
+    /// The request has failed on it.
+    Worker,
 }
 
 impl Candidate {
@@ -29,27 +41,24 @@
         self.load < self.slots
     }
 
-    fn key(self) -> (bool, u64) {
-        (
-            self.avoid,
-            u64::from(self.load) * 1000 / u64::from(self.slots.max(1)),
-        )
+    /// Load in thousandths of its slots.
+    fn fill(self) -> u64 {
+        u64::from(self.load) * 1000 / u64::from(self.slots.max(1))
     }
 }
 
-/// Chooses a worker with room; yields its index.
+/// Chooses a worker with room, among those that are least to be avoided; yields its index.
 pub fn choose(choice: Choice, workers: &[Candidate], rng: &mut impl Rng) -> Option<usize> {
-    let open: Vec<usize> = (0..workers.len()).filter(|i| workers[*i].has_room()).collect();
+    let least = workers.iter().filter(|w| w.has_room()).map(|w| w.avoid).min()?;
+    let open: Vec<usize> =
+        (0..workers.len()).filter(|i| workers[*i].has_room() && workers[*i].avoid == least).collect();
     let any = |rng: &mut dyn rand::RngCore| open[rng.random_range(0..open.len())];
-    if open.is_empty() {
-        return None;
-    }
     match choice {
         Choice::Random => Some(any(rng)),
-        Choice::LeastLoaded => open.iter().copied().min_by_key(|i| workers[*i].key()),
+        Choice::LeastLoaded => open.iter().copied().min_by_key(|i| workers[*i].fill()),
         Choice::TwoChoices => {
             let (a, b) = (any(rng), any(rng));
-            Some(if workers[b].key() < workers[a].key() { b } else { a })
+            Some(if workers[b].fill() < workers[a].fill() { b } else { a })
         }
     }
 }
--- a/components/policy/tests/decisions.rs
+++ b/components/policy/tests/decisions.rs
@@ -1,69 +1,39 @@
 //! Shares and placement.
 
 use googletest::prelude::*;
-use policy::{Candidate, Choice, Claimant, Pick, choose, distance, max_min, pick};
+use policy::{Avoid, Candidate, Choice, Claimant, Pick, choose, distance, max_min, pick};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
 fn team(share: f64, running: f64, ready: bool) -> Claimant {
-    Claimant {
-        share,
-        running,
-        usage: 0.0,
-        ready,
-        elsewhere: false,
-    }
+    Claimant { share, running, usage: 0.0, ready, elsewhere: false }
 }
 
 #[gtest]
 fn starts_the_team_furthest_below_its_share() {
-    expect_eq!(
-        pick(&[team(1.0, 3.0, true), team(4.0, 8.0, true)]),
-        Pick::Start(1)
-    );
-    expect_eq!(
-        pick(&[team(1.0, 3.0, true), team(4.0, 8.0, false)]),
-        Pick::Start(0)
-    );
+    expect_eq!(pick(&[team(1.0, 3.0, true), team(4.0, 8.0, true)]), Pick::Start(1));
+    expect_eq!(pick(&[team(1.0, 3.0, true), team(4.0, 8.0, false)]), Pick::Start(0));
     expect_eq!(pick(&[team(1.0, 3.0, false)]), Pick::Idle);
 }
 
 #[gtest]
 fn repays_a_team_that_was_starved() {
-    let starved = Claimant {
-        usage: 0.0,
-        ..team(1.0, 2.0, true)
-    };
-    let sated = Claimant {
-        usage: 4.0,
-        ..team(1.0, 2.0, true)
-    };
+    let starved = Claimant { usage: 0.0, ..team(1.0, 2.0, true) };
+    let sated = Claimant { usage: 4.0, ..team(1.0, 2.0, true) };
     expect_eq!(pick(&[sated, starved]), Pick::Start(1));
 }
 
 #[gtest]
 fn leaves_a_slot_to_a_needier_team_elsewhere() {
-    let needy = Claimant {
-        elsewhere: true,
-        ..team(1.0, 0.0, false)
-    };
+    let needy = Claimant { elsewhere: true, ..team(1.0, 0.0, false) };
     expect_eq!(pick(&[team(1.0, 5.0, true), needy]), Pick::Yield);
 }
 
 #[gtest]
 fn lends_unused_share() {
-    expect_that!(
-        max_min(10.0, &[1.0, 1.0], &[2.0, 99.0]),
-        elements_are![near(2.0, 1e-9), near(8.0, 1e-9)]
-    );
-    expect_that!(
-        max_min(10.0, &[1.0, 4.0], &[99.0, 99.0]),
-        elements_are![near(2.0, 1e-9), near(8.0, 1e-9)]
-    );
-    expect_that!(
-        max_min(10.0, &[1.0, 1.0], &[1.0, 2.0]),
-        elements_are![near(1.0, 1e-9), near(2.0, 1e-9)]
-    );
+    expect_that!(max_min(10.0, &[1.0, 1.0], &[2.0, 99.0]), elements_are![near(2.0, 1e-9), near(8.0, 1e-9)]);
+    expect_that!(max_min(10.0, &[1.0, 4.0], &[99.0, 99.0]), elements_are![near(2.0, 1e-9), near(8.0, 1e-9)]);
+    expect_that!(max_min(10.0, &[1.0, 1.0], &[1.0, 2.0]), elements_are![near(1.0, 1e-9), near(2.0, 1e-9)]);
 }
 
 #[gtest]
@@ -75,16 +45,8 @@
 #[gtest]
 fn places_nothing_on_a_full_worker() {
     let mut rng = StdRng::seed_from_u64(1);
-    let full = Candidate {
-        load: 8,
-        slots: 8,
-        avoid: false,
-    };
-    let free = Candidate {
-        load: 7,
-        slots: 8,
-        avoid: true,
-    };
+    let full = Candidate { load: 8, slots: 8, avoid: Avoid::No };
+    let free = Candidate { load: 7, slots: 8, avoid: Avoid::Zone };
     for choice in [Choice::TwoChoices, Choice::LeastLoaded, Choice::Random] {
         expect_eq!(choose(choice, &[full, free], &mut rng), Some(1));
         expect_eq!(choose(choice, &[full], &mut rng), None);
@@ -94,15 +56,17 @@
 #[gtest]
 fn prefers_another_zone_after_a_failure() {
     let mut rng = StdRng::seed_from_u64(1);
-    let here = Candidate {
-        load: 0,
-        slots: 8,
-        avoid: true,
-    };
-    let there = Candidate {
-        load: 5,
-        slots: 8,
-        avoid: false,
-    };
+    let here = Candidate { load: 0, slots: 8, avoid: Avoid::Zone };
+    let there = Candidate { load: 5, slots: 8, avoid: Avoid::No };
     expect_eq!(choose(Choice::LeastLoaded, &[here, there], &mut rng), Some(1));
 }
+
+#[gtest]
+fn keeps_away_from_a_worker_that_failed_the_request() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let failed = Candidate { load: 0, slots: 8, avoid: Avoid::Worker };
+    let zone = Candidate { load: 7, slots: 8, avoid: Avoid::Zone };
+    for choice in [Choice::TwoChoices, Choice::LeastLoaded, Choice::Random] {
+        expect_eq!(choose(choice, &[failed, zone, failed], &mut rng), Some(1));
+    }
+}
--- a/components/standin/src/lib.rs
+++ b/components/standin/src/lib.rs
@@ -16,7 +16,5 @@
 /// # Errors
 /// When the listener cannot be used.
 pub async fn serve(listener: TcpListener, app: impl IntoEndpoint<Endpoint: 'static>) -> std::io::Result<()> {
-    Server::new_with_acceptor(TcpAcceptor::from_tokio(listener)?)
-        .run(app)
-        .await
+    Server::new_with_acceptor(TcpAcceptor::from_tokio(listener)?).run(app).await
 }
--- a/components/standin/src/list.rs
+++ b/components/standin/src/list.rs
@@ -22,9 +22,7 @@
 
 /// The list as an HTTP application; `PUT /hosts` replaces it.
 pub fn app(store: Arc<Store>) -> impl IntoEndpoint {
-    Route::new()
-        .at("/hosts", get(get_hosts).put(put_hosts))
-        .data(store)
+    Route::new().at("/hosts", get(get_hosts).put(put_hosts)).data(store)
 }
 
 #[handler]
--- a/components/standin/src/log.rs
+++ b/components/standin/src/log.rs
@@ -46,11 +46,7 @@
         let horizon = *self.horizon.lock();
         let start = usize::try_from(from.max(horizon)).unwrap_or(usize::MAX);
         let found = entries.iter().skip(start).take(max).cloned().collect();
-        LogPage {
-            entries: found,
-            horizon,
-            tail: entries.len() as u64,
-        }
+        LogPage { entries: found, horizon, tail: entries.len() as u64 }
     }
 
     /// Forgets everything before an offset.
--- a/components/standin/src/worker.rs
+++ b/components/standin/src/worker.rs
@@ -102,11 +102,7 @@
     /// A worker with a number of slots.
     #[must_use]
     pub fn new(slots: u32) -> Self {
-        Self {
-            boot: wall_ms(),
-            slots,
-            inner: Mutex::default(),
-        }
+        Self { boot: wall_ms(), slots, inner: Mutex::default() }
     }
 
     /// Everything it has started.
@@ -182,15 +178,8 @@
 }
 
 fn ended(order: &Order, fail: bool) -> TaskState {
-    let status = if fail {
-        StatusCode::INTERNAL_SERVER_ERROR
-    } else {
-        StatusCode::OK
-    };
-    TaskState::Ended {
-        status: status.as_u16(),
-        body: format!("done {}", order.body),
-    }
+    let status = if fail { StatusCode::INTERNAL_SERVER_ERROR } else { StatusCode::OK };
+    TaskState::Ended { status: status.as_u16(), body: format!("done {}", order.body) }
 }
 
 /// The worker as an HTTP application.
@@ -234,23 +223,17 @@
         std::future::pending::<()>().await;
     }
     Ok(match state {
-        TaskState::Ended { status, body } => answer(
-            &store,
-            &id,
-            StatusCode::from_u16(status).unwrap_or(StatusCode::OK),
-            body,
-        ),
+        TaskState::Ended { status, body } => {
+            answer(&store, &id, StatusCode::from_u16(status).unwrap_or(StatusCode::OK), body)
+        }
         _ => answer(&store, &id, StatusCode::GONE, "stopped".into()),
     })
 }
 
 fn read_order(request: &Request, body: String) -> poem::Result<Order> {
     let text = |name: &str| request.header(name).unwrap_or_default().to_owned();
-    let number = |name: &str| {
-        text(name)
-            .parse::<u64>()
-            .map_err(|_| poem::Error::from(StatusCode::BAD_REQUEST))
-    };
+    let number =
+        |name: &str| text(name).parse::<u64>().map_err(|_| poem::Error::from(StatusCode::BAD_REQUEST));
     Ok(Order {
         id: text(TASK_HEADER),
         team: text("x-team"),
@@ -302,28 +285,14 @@
 fn revoke_lease(store: Data<&Arc<Store>>, Query(query): Query<ByLease>) -> Json<Vec<LeasedTask>> {
     let mut inner = store.inner.lock();
     inner.revoked.insert(query.lease);
-    let running = inner
-        .records
-        .iter()
-        .filter(|r| r.lease == query.lease && r.ended == 0);
-    Json(
-        running
-            .map(|r| LeasedTask {
-                id: r.id.clone(),
-                team: r.team.clone(),
-            })
-            .collect(),
-    )
+    let running = inner.records.iter().filter(|r| r.lease == query.lease && r.ended == 0);
+    Json(running.map(|r| LeasedTask { id: r.id.clone(), team: r.team.clone() }).collect())
 }
 
 #[handler]
 fn get_usage(store: Data<&Arc<Store>>) -> Json<Usage> {
     let running = store.inner.lock().running;
-    Json(Usage {
-        boot: store.boot,
-        running,
-        slots: store.slots,
-    })
+    Json(Usage { boot: store.boot, running, slots: store.slots })
 }
 
 #[handler]
--- a/components/trial/src/caller.rs
+++ b/components/trial/src/caller.rs
@@ -32,35 +32,33 @@
     #[must_use]
     pub fn quote(team: &str, body: &str, work_ms: u64) -> Self {
         let path = format!("/q/quotes/quote?work_ms={work_ms}");
-        Self {
-            team: team.into(),
-            method: Method::PUT,
-            path,
-            body: body.into(),
-            key: None,
-        }
+        Self { team: team.into(), method: Method::PUT, path, body: body.into(), key: None }
     }
 
     /// A request with an idempotency key equal to its body.
     #[must_use]
     pub fn booking(team: &str, body: &str, work_ms: u64) -> Self {
         let path = format!("/q/quotes/book?work_ms={work_ms}");
-        Self {
-            team: team.into(),
-            method: Method::POST,
-            path,
-            body: body.into(),
-            key: Some(body.into()),
-        }
+        Self { team: team.into(), method: Method::POST, path, body: body.into(), key: Some(body.into()) }
+    }
+
+    /// A job with an idempotency key equal to its body.
+    #[must_use]
+    pub fn job(team: &str, body: &str, work_ms: u64) -> Self {
+        Self { path: format!("/jobs/quotes/run?work_ms={work_ms}"), ..Self::booking(team, body, work_ms) }
+    }
+
+    /// Waits for a job of a team, or cancels it.
+    #[must_use]
+    pub fn about_job(team: &str, id: &str, method: Method) -> Self {
+        let path = format!("/jobs/{id}?wait");
+        Self { team: team.into(), method, path, body: String::new(), key: None }
     }
 
     /// A non-idempotent request without a key.
     #[must_use]
     pub fn single(team: &str, body: &str, work_ms: u64) -> Self {
-        Self {
-            key: None,
-            ..Self::booking(team, body, work_ms)
-        }
+        Self { key: None, ..Self::booking(team, body, work_ms) }
     }
 }
 
@@ -109,11 +107,8 @@
     }
     let sent = wall_ms();
     let body = Bytes::from(ask.body.clone());
-    let request = Fetch {
-        method: ask.method.clone(),
-        headers,
-        ..Fetch::post(addr, &ask.path, body, CALL_TIME)
-    };
+    let request =
+        Fetch { method: ask.method.clone(), headers, ..Fetch::post(addr, &ask.path, body, CALL_TIME) };
     let done = http.fetch(request).await;
     let once = ask.method == Method::POST;
     let told = Told {
@@ -128,10 +123,7 @@
         text: String::new(),
     };
     match done {
-        Err(fault) => Told {
-            text: fault.to_string(),
-            ..told
-        },
+        Err(fault) => Told { text: fault.to_string(), ..told },
         Ok(done) => Told {
             verdict: done.header(VERDICT_HEADER).and_then(Verdict::parse),
             status: done.status.as_u16(),
@@ -154,19 +146,12 @@
 impl Load {
     /// Starts callers that send one request after the other; each is numbered and goes to the next address.
     pub fn start(callers: usize, addrs: &[String], ask: impl Fn(u64) -> Ask + Send + Sync + 'static) -> Self {
-        let load = Self {
-            told: Arc::default(),
-            over: Arc::default(),
-            count: Arc::default(),
-            tasks: Vec::new(),
-        };
+        let load =
+            Self { told: Arc::default(), over: Arc::default(), count: Arc::default(), tasks: Vec::new() };
         let ask = Arc::new(ask);
         let tasks = (0..callers).map(|_| {
-            let (told, over, count) = (
-                Arc::clone(&load.told),
-                Arc::clone(&load.over),
-                Arc::clone(&load.count),
-            );
+            let (told, over, count) =
+                (Arc::clone(&load.told), Arc::clone(&load.over), Arc::clone(&load.count));
             let (ask, addrs) = (Arc::clone(&ask), addrs.to_vec());
             tokio::spawn(async move {
                 let http = Fetcher::default();
--- a/components/trial/src/check.rs
+++ b/components/trial/src/check.rs
@@ -17,9 +17,7 @@
     for record in records {
         *starts.entry(&record.body).or_default() += 1;
     }
-    told.iter()
-        .filter_map(|t| answer(t, starts.get(t.body.as_str()).copied().unwrap_or(0)))
-        .collect()
+    told.iter().filter_map(|t| answer(t, starts.get(t.body.as_str()).copied().unwrap_or(0))).collect()
 }
 
 fn answer(told: &Told, starts: usize) -> Option<Broken> {
@@ -32,10 +30,9 @@
             Some(format!("{body}: answer of another: {}", told.text))
         }
         Some(Verdict::Ran) if starts == 0 => Some(format!("{body}: told that it ran, and it did not")),
-        Some(Verdict::NotRun) if starts > 0 => Some(format!(
-            "{body}: told that it did not run, and it did: {}",
-            told.text
-        )),
+        Some(Verdict::NotRun) if starts > 0 => {
+            Some(format!("{body}: told that it did not run, and it did: {}", told.text))
+        }
         _ => None,
     }
 }
@@ -63,8 +60,5 @@
 /// Tasks that were started within a span of time.
 #[must_use]
 pub fn started_between(records: &[Record], from: u64, to: u64) -> Vec<&Record> {
-    records
-        .iter()
-        .filter(|r| r.started > from && r.started < to)
-        .collect()
+    records.iter().filter(|r| r.started > from && r.started < to).collect()
 }
--- a/components/trial/src/fleet.rs
+++ b/components/trial/src/fleet.rs
@@ -54,14 +54,7 @@
     /// Three entry hosts, six workers with eight slots, three zones.
     #[must_use]
     pub fn new(program: &Path) -> Self {
-        Self {
-            program: program.to_owned(),
-            entries: 3,
-            workers: 6,
-            zones: 3,
-            slots: 8,
-            extra: String::new(),
-        }
+        Self { program: program.to_owned(), entries: 3, workers: 6, zones: 3, slots: 8, extra: String::new() }
     }
 }
 
@@ -126,9 +119,8 @@
     }
 
     fn empty(plan: Plan) -> Self {
-        let id = std::process::id()
-            .wrapping_mul(16)
-            .wrapping_add(NEXT_NETWORK.fetch_add(1, Ordering::SeqCst));
+        let id =
+            std::process::id().wrapping_mul(16).wrapping_add(NEXT_NETWORK.fetch_add(1, Ordering::SeqCst));
         let [_, _, high, low] = id.to_be_bytes();
         let network = [127, high.clamp(1, 254), low];
         let dir = std::env::temp_dir().join(format!("lagoonrelay-{}-{high}-{low}", std::process::id()));
@@ -168,10 +160,7 @@
 
     fn spawn_standin(&self, kind: &str, name: &str, addr: SocketAddr) -> Process {
         let slots = self.plan.slots.to_string();
-        self.spawn(
-            name,
-            &["standin", kind, "--listen", &addr.to_string(), "--slots", &slots],
-        )
+        self.spawn(name, &["standin", kind, "--listen", &addr.to_string(), "--slots", &slots])
     }
 
     async fn start_platform(&mut self) {
@@ -183,10 +172,8 @@
     }
 
     async fn add_worker(&mut self, number: u8) {
-        let (addr, front) = (
-            self.at(WORKER_BASE + number, WORKER_PORT),
-            self.at(WORKER_PROXY_BASE + number, WORKER_PORT),
-        );
+        let (addr, front) =
+            (self.at(WORKER_BASE + number, WORKER_PORT), self.at(WORKER_PROXY_BASE + number, WORKER_PORT));
         let process = self.spawn_standin("worker", &format!("w{number}"), addr);
         let proxy = Proxy::start(front, addr).await.expect("a free loopback address");
         let zone = format!("z{}", number % self.plan.zones);
@@ -199,24 +186,17 @@
             state: HostState::Live,
         };
         self.wait_answer(addr, "/usage").await;
-        self.workers.push(Worker {
-            process: Some(process),
-            proxy,
-            info,
-            addr,
-        });
+        self.workers.push(Worker { process: Some(process), proxy, info, addr });
     }
 
     async fn add_entry(&mut self, number: u8) {
         let ip = self.ip(ENTRY_BASE + number);
         let front = ENTRY_PROXY_BASE + number;
         let peer = SocketAddr::new(ip, PEER_PORT);
-        let peer_proxy = Proxy::start(self.at(front, PEER_PORT), peer)
-            .await
-            .expect("a free loopback address");
-        let log_proxy = Proxy::start(self.at(front, LOG_PORT), self.log_addr())
-            .await
-            .expect("a free address");
+        let peer_proxy =
+            Proxy::start(self.at(front, PEER_PORT), peer).await.expect("a free loopback address");
+        let log_proxy =
+            Proxy::start(self.at(front, LOG_PORT), self.log_addr()).await.expect("a free address");
         let settings = self.dir.join(format!("e{number}.json"));
         let text = format!(
             r#"{{ // written by the harness
@@ -230,13 +210,7 @@
             extra = self.plan.extra,
         );
         std::fs::write(&settings, text).expect("a folder for settings");
-        self.entries.push(EntryHost {
-            process: None,
-            peer_proxy,
-            log_proxy,
-            ip,
-            settings,
-        });
+        self.entries.push(EntryHost { process: None, peer_proxy, log_proxy, ip, settings });
         self.start_entry(usize::from(number));
     }
 
@@ -265,26 +239,16 @@
         let headers =
             HeaderMap::from_iter([(header::CONTENT_TYPE, HeaderValue::from_static("application/json"))]);
         let addr = self.list_addr().to_string();
-        let call = Fetch {
-            method: Method::PUT,
-            headers,
-            ..Fetch::post(&addr, "/hosts", body, CALL_TIME)
-        };
+        let call = Fetch { method: Method::PUT, headers, ..Fetch::post(&addr, "/hosts", body, CALL_TIME) };
         let done = self.http.fetch(call).await.expect("host list stand-in");
-        assert!(
-            done.status.is_success(),
-            "host list is not taken: {}",
-            done.status
-        );
+        assert!(done.status.is_success(), "host list is not taken: {}", done.status);
     }
 
     async fn wait_answer(&self, addr: SocketAddr, path: &str) {
         let addr = addr.to_string();
         let http = Fetcher::unpooled();
         until(&format!("{addr}{path}"), || async {
-            http.fetch(Fetch::get(&addr, path, CALL_TIME))
-                .await
-                .is_ok_and(|done| done.status.is_success())
+            http.fetch(Fetch::get(&addr, path, CALL_TIME)).await.is_ok_and(|done| done.status.is_success())
         })
         .await;
     }
@@ -293,10 +257,7 @@
     pub async fn wait_ready(&self, number: usize) {
         let name = format!("entry host {number} ready");
         until(&name, || async {
-            let Ok(Some(row)) = self
-                .query(number, "show status")
-                .await
-                .map(|rows| rows.into_iter().next())
+            let Ok(Some(row)) = self.query(number, "show status").await.map(|rows| rows.into_iter().next())
             else {
                 return false;
             };
@@ -325,14 +286,9 @@
         let addr = self.admin(number);
         let value = HeaderValue::from_str(&format!("Bearer {OPERATOR}")).expect("a header value");
         let headers = HeaderMap::from_iter([(header::AUTHORIZATION, value)]);
-        let call = Fetch {
-            headers,
-            ..Fetch::post(&addr, "/command", Bytes::from(line.to_owned()), CALL_TIME)
-        };
-        let done = Fetcher::unpooled()
-            .fetch(call)
-            .await
-            .map_err(|fault| fault.to_string())?;
+        let call =
+            Fetch { headers, ..Fetch::post(&addr, "/command", Bytes::from(line.to_owned()), CALL_TIME) };
+        let done = Fetcher::unpooled().fetch(call).await.map_err(|fault| fault.to_string())?;
         serde_json::from_slice(&done.body).map_err(|_| String::from_utf8_lossy(&done.body).into_owned())
     }
 
@@ -359,15 +315,12 @@
     pub async fn set_up(&self, teams: &[(&str, u32, u32)], budget: u32) {
         self.order(0, &format!("set pool main budget {budget}")).await;
         for worker in &self.workers {
-            self.order(0, &format!("assign host {} pool main", worker.info.name))
-                .await;
+            self.order(0, &format!("assign host {} pool main", worker.info.name)).await;
         }
         self.order(0, "set queue quotes pool main").await;
         for (team, share, limit) in teams {
-            self.order(0, &format!("set team {team} share {share} limit {limit}"))
-                .await;
-            self.order(0, &format!("grant key {team} secret {team}-secret team {team}"))
-                .await;
+            self.order(0, &format!("set team {team} share {share} limit {limit}")).await;
+            self.order(0, &format!("grant key {team} secret {team}-secret team {team}")).await;
         }
     }
 
@@ -394,16 +347,9 @@
         let headers =
             HeaderMap::from_iter([(header::CONTENT_TYPE, HeaderValue::from_static("application/json"))]);
         let body = Bytes::from(serde_json::to_vec(&state).expect("JSON"));
-        let call = Fetch {
-            headers,
-            ..Fetch::post(&addr, "/misbehave", body, CALL_TIME)
-        };
+        let call = Fetch { headers, ..Fetch::post(&addr, "/misbehave", body, CALL_TIME) };
         let done = self.http.fetch(call).await.expect("log stand-in");
-        assert!(
-            done.status.is_success(),
-            "misbehaviour is not taken: {}",
-            done.status
-        );
+        assert!(done.status.is_success(), "misbehaviour is not taken: {}", done.status);
     }
 
     /// All records on the log.
@@ -412,10 +358,7 @@
     /// When the log does not answer.
     pub async fn log_records(&self) -> LogPage {
         let addr = self.log_addr().to_string();
-        let done = self
-            .http
-            .fetch(Fetch::get(&addr, "/read?from=0&max=1000000", CALL_TIME))
-            .await;
+        let done = self.http.fetch(Fetch::get(&addr, "/read?from=0&max=1000000", CALL_TIME)).await;
         serde_json::from_slice(&done.expect("log stand-in").body).expect("a page")
     }
 
@@ -425,11 +368,7 @@
     /// When the worker does not answer.
     pub async fn records(&self, number: usize) -> Vec<Record> {
         let addr = self.workers[number].addr.to_string();
-        let done = self
-            .http
-            .fetch(Fetch::get(&addr, "/record", CALL_TIME))
-            .await
-            .expect("a worker");
+        let done = self.http.fetch(Fetch::get(&addr, "/record", CALL_TIME)).await.expect("a worker");
         serde_json::from_slice(&done.body).expect("records")
     }
 
@@ -451,10 +390,7 @@
         let headers =
             HeaderMap::from_iter([(header::CONTENT_TYPE, HeaderValue::from_static("application/json"))]);
         let body = Bytes::from(serde_json::to_vec(&mood).expect("JSON"));
-        let call = Fetch {
-            headers,
-            ..Fetch::post(&addr, "/mood", body, CALL_TIME)
-        };
+        let call = Fetch { headers, ..Fetch::post(&addr, "/mood", body, CALL_TIME) };
         assert!(self.http.fetch(call).await.expect("a worker").status.is_success());
     }
 }
--- a/components/trial/src/process.rs
+++ b/components/trial/src/process.rs
@@ -22,10 +22,7 @@
     /// # Errors
     /// When it cannot be started.
     pub fn start(program: &Path, args: &[&str], log: &LogFile) -> std::io::Result<Self> {
-        let log = std::fs::OpenOptions::new()
-            .create(true)
-            .append(true)
-            .open(&log.0)?;
+        let log = std::fs::OpenOptions::new().create(true).append(true).open(&log.0)?;
         let child = Command::new(program)
             .args(args)
             .stdin(Stdio::null())
@@ -71,11 +68,7 @@
 
     /// Exit code, once it has ended.
     pub fn exit_code(&mut self) -> Option<i32> {
-        self.child
-            .try_wait()
-            .ok()
-            .flatten()
-            .map(|status| status.code().unwrap_or(-1))
+        self.child.try_wait().ok().flatten().map(|status| status.code().unwrap_or(-1))
     }
 }
 
--- a/components/trial/src/proxy.rs
+++ b/components/trial/src/proxy.rs
@@ -98,11 +98,7 @@
             tokio::spawn(carry(
                 stream,
                 target,
-                Watcher {
-                    rules: rules.subscribe(),
-                    source: source.ip(),
-                    generation,
-                },
+                Watcher { rules: rules.subscribe(), source: source.ip(), generation },
             ));
         }
     }
@@ -122,12 +118,7 @@
 
     async fn cut(&mut self) {
         let (source, generation) = (self.source, self.generation);
-        if self
-            .rules
-            .wait_for(|r| r.mode(source, generation) == Mode::Cut)
-            .await
-            .is_err()
-        {
+        if self.rules.wait_for(|r| r.mode(source, generation) == Mode::Cut).await.is_err() {
             std::future::pending::<()>().await;
         }
     }
--- a/components/wire/src/link.rs
+++ b/components/wire/src/link.rs
@@ -56,25 +56,15 @@
     pub async fn dial(stream: S, secret: &[u8; 32], own: u64) -> Result<Self, LinkError> {
         let mut link = Self::over(stream);
         let nonce = nonce()?;
-        link.send_body(Body::Hello(Hello {
-            version: VERSION,
-            incarnation: own,
-            nonce: nonce.clone(),
-        }))
-        .await?;
+        link.send_body(Body::Hello(Hello { version: VERSION, incarnation: own, nonce: nonce.clone() }))
+            .await?;
         let Some(Body::Challenge(reply)) = link.recv().await?.body else {
             return Err(LinkError::Unexpected);
         };
-        let parties = Parties {
-            dialer: own,
-            acceptor: reply.incarnation,
-            nonces: [&nonce, &reply.nonce],
-        };
+        let parties = Parties { dialer: own, acceptor: reply.incarnation, nonces: [&nonce, &reply.nonce] };
         check(&reply.digest, &parties.digest(secret, b"acceptor"))?;
-        link.send_body(Body::Proof(Proof {
-            digest: parties.digest(secret, b"dialer").as_bytes().to_vec(),
-        }))
-        .await?;
+        link.send_body(Body::Proof(Proof { digest: parties.digest(secret, b"dialer").as_bytes().to_vec() }))
+            .await?;
         link.peer = reply.incarnation;
         Ok(link)
     }
@@ -92,18 +82,9 @@
             return Err(LinkError::Version(hello.version));
         }
         let nonce = nonce()?;
-        let parties = Parties {
-            dialer: hello.incarnation,
-            acceptor: own,
-            nonces: [&hello.nonce, &nonce],
-        };
+        let parties = Parties { dialer: hello.incarnation, acceptor: own, nonces: [&hello.nonce, &nonce] };
         let digest = parties.digest(secret, b"acceptor").as_bytes().to_vec();
-        link.send_body(Body::Challenge(Challenge {
-            incarnation: own,
-            nonce: nonce.clone(),
-            digest,
-        }))
-        .await?;
+        link.send_body(Body::Challenge(Challenge { incarnation: own, nonce: nonce.clone(), digest })).await?;
         let Some(Body::Proof(proof)) = link.recv().await?.body else {
             return Err(LinkError::Unexpected);
         };
@@ -130,22 +111,12 @@
     }
 
     fn over(stream: S) -> Self {
-        let codec = LengthDelimitedCodec::builder()
-            .max_frame_length(MAX_FRAME_BYTES)
-            .new_codec();
-        Self {
-            frames: Framed::new(stream, codec),
-            peer: 0,
-        }
+        let codec = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
+        Self { frames: Framed::new(stream, codec), peer: 0 }
     }
 
     async fn send_body(&mut self, body: Body) -> Result<(), LinkError> {
-        self.send(&Envelope {
-            id: 0,
-            clock: 0,
-            body: Some(body),
-        })
-        .await
+        self.send(&Envelope { id: 0, clock: 0, body: Some(body) }).await
     }
 }
 
@@ -172,11 +143,7 @@
 /// Compares in constant time, as [`blake3::Hash`] does.
 fn check(given: &[u8], wanted: &blake3::Hash) -> Result<(), LinkError> {
     let given = blake3::Hash::from_slice(given).map_err(|_| LinkError::Unproved)?;
-    if given == *wanted {
-        Ok(())
-    } else {
-        Err(LinkError::Unproved)
-    }
+    if given == *wanted { Ok(()) } else { Err(LinkError::Unproved) }
 }
 
 fn nonce() -> Result<Vec<u8>, LinkError> {
--- a/components/wire/tests/link.rs
+++ b/components/wire/tests/link.rs
@@ -13,14 +13,7 @@
     let (dialer, acceptor) = tokio::join!(Link::dial(a, &SECRET, 1), Link::accept(b, &SECRET, 2));
     let (mut dialer, mut acceptor) = (dialer.unwrap(), acceptor.unwrap());
     assert_that!((dialer.peer, acceptor.peer), eq((2, 1)));
-    let beat = Envelope {
-        id: 5,
-        clock: 9,
-        body: Some(Body::Beat(Beat {
-            applied: 3,
-            ..Beat::default()
-        })),
-    };
+    let beat = Envelope { id: 5, clock: 9, body: Some(Body::Beat(Beat { applied: 3, ..Beat::default() })) };
     dialer.send(&beat).await.unwrap();
     assert_that!(acceptor.recv().await.unwrap(), eq(&beat));
 }
@@ -37,13 +30,8 @@
 #[tokio::test]
 async fn errors_on_a_frame_above_the_cap() {
     let (mut a, b) = tokio::io::duplex(64);
-    tokio::io::AsyncWriteExt::write_all(&mut a, &[0xff; 8])
-        .await
-        .unwrap();
-    assert_that!(
-        matches!(Link::accept(b, &SECRET, 2).await, Err(LinkError::Io(_))),
-        eq(true)
-    );
+    tokio::io::AsyncWriteExt::write_all(&mut a, &[0xff; 8]).await.unwrap();
+    assert_that!(matches!(Link::accept(b, &SECRET, 2).await, Err(LinkError::Io(_))), eq(true));
 }
 
 proptest! {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -81,11 +81,7 @@
     pub fn read_or_exit() -> Self {
         // `for` is a keyword and cannot be a field of the generated types.
         let long = |arg: OsString| {
-            if arg == "--for" {
-                OsString::from("--for-seconds")
-            } else {
-                arg
-            }
+            if arg == "--for" { OsString::from("--for-seconds") } else { arg }
         };
         Self::from_vec(std::env::args_os().skip(1).map(long).collect()).unwrap_or_else(|error| error.exit())
     }
--- a/src/cmd/ctl.rs
+++ b/src/cmd/ctl.rs
@@ -23,35 +23,22 @@
             failed += 1;
         }
     }
-    if failed == 0 {
-        Ok(())
-    } else {
-        Err(Error::Refused(format!("{failed} lines were refused")))
-    }
+    if failed == 0 { Ok(()) } else { Err(Error::Refused(format!("{failed} lines were refused"))) }
 }
 
 fn lines(flags: &Ctl) -> Result<Vec<String>, Error> {
     let Some(path) = &flags.file else {
         return Ok(vec![flags.words.join(" ")]);
     };
-    let text = std::fs::read_to_string(path).map_err(|source| Error::Read {
-        path: path.clone(),
-        source,
-    })?;
-    let wanted = text
-        .lines()
-        .map(str::trim)
-        .filter(|line| !line.is_empty() && !line.starts_with('#'));
+    let text = std::fs::read_to_string(path).map_err(|source| Error::Read { path: path.clone(), source })?;
+    let wanted = text.lines().map(str::trim).filter(|line| !line.is_empty() && !line.starts_with('#'));
     Ok(wanted.map(str::to_owned).collect())
 }
 
 async fn send(http: &Fetcher, flags: &Ctl, key: &str, line: &str) -> Result<Result<(), String>, Error> {
     let addr = flags.to.to_string();
     let headers = bearer(key)?;
-    let call = Fetch {
-        headers,
-        ..Fetch::post(&addr, "/command", Bytes::from(line.to_owned()), TIMEOUT)
-    };
+    let call = Fetch { headers, ..Fetch::post(&addr, "/command", Bytes::from(line.to_owned()), TIMEOUT) };
     let done = http.fetch(call).await?;
     let text = String::from_utf8_lossy(&done.body).into_owned();
     if !done.status.is_success() {
@@ -86,12 +73,9 @@
     let Some(object) = row.as_object() else {
         return row.to_string();
     };
-    let words = object
-        .iter()
-        .filter(|(_, v)| !v.is_null())
-        .map(|(key, value)| match value {
-            Value::String(text) => format!("{key}={text}"),
-            other => format!("{key}={other}"),
-        });
+    let words = object.iter().filter(|(_, v)| !v.is_null()).map(|(key, value)| match value {
+        Value::String(text) => format!("{key}={text}"),
+        other => format!("{key}={other}"),
+    });
     words.collect::<Vec<_>>().join("  ")
 }
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -51,10 +51,7 @@
     let mut hosts = JoinSet::new();
     let fleet = start(&mut tasks, &mut hosts, &stopped).await?;
     set_up(&fleet).await?;
-    println!(
-        "callers: {}  operators: {} (key {OPERATOR})",
-        fleet.callers[0], fleet.admin[0]
-    );
+    println!("callers: {}  operators: {} (key {OPERATOR})", fleet.callers[0], fleet.admin[0]);
     let tally = Arc::new(Tally::default());
     let over = Arc::new(AtomicBool::new(false));
     let mut senders = JoinSet::new();
@@ -80,11 +77,7 @@
     let listed = Arc::new(list::Store::default());
     tasks.spawn(serve(log_listener, log::app(Arc::default())));
     tasks.spawn(serve(list_listener, list::app(Arc::clone(&listed))));
-    let mut fleet = Fleet {
-        callers: Vec::new(),
-        admin: Vec::new(),
-        workers: Vec::new(),
-    };
+    let mut fleet = Fleet { callers: Vec::new(), admin: Vec::new(), workers: Vec::new() };
     let mut infos = Vec::new();
     for number in 0..ZONES * WORKERS_PER_ZONE {
         let (listener, addr) = bind().await?;
@@ -100,11 +93,7 @@
         let settings = config::parse(&text).map_err(|f| Error::Refused(super::list(&f)))?;
         fleet.callers.push(callers.1);
         fleet.admin.push(admin.1);
-        let listeners = Listeners {
-            callers: callers.0,
-            admin: admin.0,
-            peer: peer.0,
-        };
+        let listeners = Listeners { callers: callers.0, admin: admin.0, peer: peer.0 };
         hosts.spawn(entry::run(settings, listeners, None, stopped.clone()));
     }
     Ok(fleet)
@@ -164,19 +153,14 @@
     let until = Instant::now() + CALL_TIME;
     loop {
         let body = Bytes::from(line.to_owned());
-        let call = Fetch {
-            headers: ctl::bearer(OPERATOR)?,
-            ..Fetch::post(addr, "/command", body, CALL_TIME)
-        };
+        let call =
+            Fetch { headers: ctl::bearer(OPERATOR)?, ..Fetch::post(addr, "/command", body, CALL_TIME) };
         let done = http.fetch(call).await?;
         if done.status == http::StatusCode::OK {
             return Ok(());
         }
         if Instant::now() > until {
-            return Err(Error::Refused(format!(
-                "{line}: {}",
-                String::from_utf8_lossy(&done.body)
-            )));
+            return Err(Error::Refused(format!("{line}: {}", String::from_utf8_lossy(&done.body))));
         }
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
@@ -200,21 +184,10 @@
                 HeaderValue::from_str(&body).unwrap_or(HeaderValue::from_static("k")),
             );
         }
-        let path = if booking {
-            "/q/quotes/book?work_ms=20"
-        } else {
-            "/q/quotes/quote?work_ms=5"
-        };
-        let method = if booking {
-            http::Method::POST
-        } else {
-            http::Method::PUT
-        };
-        let call = Fetch {
-            headers,
-            method,
-            ..Fetch::post(&addr, path, Bytes::from(body.clone()), CALL_TIME)
-        };
+        let path = if booking { "/q/quotes/book?work_ms=20" } else { "/q/quotes/quote?work_ms=5" };
+        let method = if booking { http::Method::POST } else { http::Method::PUT };
+        let call =
+            Fetch { headers, method, ..Fetch::post(&addr, path, Bytes::from(body.clone()), CALL_TIME) };
         tally.sent.fetch_add(1, Ordering::Relaxed);
         let counter = match http.fetch(call).await {
             Ok(done) => match done.header(VERDICT_HEADER) {
@@ -247,26 +220,16 @@
     let get = |n: &AtomicU64| n.load(Ordering::Relaxed);
     let duplicates = runs.values().filter(|n| **n > 1).count();
     let lost = get(&tally.ran).saturating_sub(runs.len() as u64);
-    println!(
-        "sent {}  answered {}  refused {}",
-        get(&tally.sent),
-        get(&tally.ran),
-        get(&tally.refused)
-    );
+    println!("sent {}  answered {}  refused {}", get(&tally.sent), get(&tally.ran), get(&tally.refused));
     println!(
         "verdicts: ran {}  not-run {}  may-have-run {}",
         get(&tally.ran),
         get(&tally.refused),
         get(&tally.open)
     );
-    println!(
-        "wrong answers {}  duplicates {duplicates}  lost {lost}",
-        get(&tally.wrong)
-    );
+    println!("wrong answers {}  duplicates {duplicates}  lost {lost}", get(&tally.wrong));
     if duplicates == 0 && lost == 0 && get(&tally.wrong) == 0 && get(&tally.ran) > 0 {
         return Ok(());
     }
-    Err(Error::Refused(
-        "a request was answered wrongly, twice or not at all".into(),
-    ))
+    Err(Error::Refused("a request was answered wrongly, twice or not at all".into()))
 }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -72,14 +72,9 @@
 
 /// Reads and checks a settings file.
 fn read_settings(path: &Path) -> Result<config::Settings, Error> {
-    let text = std::fs::read_to_string(path).map_err(|source| Error::Read {
-        path: path.to_owned(),
-        source,
-    })?;
-    config::parse(&text).map_err(|faults| Error::Settings {
-        path: path.to_owned(),
-        faults,
-    })
+    let text =
+        std::fs::read_to_string(path).map_err(|source| Error::Read { path: path.to_owned(), source })?;
+    config::parse(&text).map_err(|faults| Error::Settings { path: path.to_owned(), faults })
 }
 
 /// Operator key from the flag or the environment.
@@ -89,9 +84,5 @@
 }
 
 fn list(faults: &[config::Fault]) -> String {
-    faults
-        .iter()
-        .map(|f| format!("  {f}"))
-        .collect::<Vec<_>>()
-        .join("\n")
+    faults.iter().map(|f| format!("  {f}")).collect::<Vec<_>>().join("\n")
 }
--- a/src/cmd/timeline.rs
+++ b/src/cmd/timeline.rs
@@ -30,10 +30,7 @@
             parts.push(events);
         }
         let after = flags.after.unwrap_or(0);
-        for event in merge(parts)
-            .iter()
-            .filter(|e| stamp_ms(e.stamp) > after && filter.matches(e))
-        {
+        for event in merge(parts).iter().filter(|e| stamp_ms(e.stamp) > after && filter.matches(e)) {
             println!("{}", line(event));
         }
         if !flags.follow {
@@ -45,10 +42,7 @@
 
 async fn fetch(http: &Fetcher, addr: &str, key: &str, since: u64) -> Result<Vec<Event>, Error> {
     let path = format!("/events?since={since}");
-    let call = Fetch {
-        headers: ctl::bearer(key)?,
-        ..Fetch::get(addr, &path, TIMEOUT)
-    };
+    let call = Fetch { headers: ctl::bearer(key)?, ..Fetch::get(addr, &path, TIMEOUT) };
     let done = http.fetch(call).await?;
     serde_json::from_slice(&done.body).map_err(|e| Error::Refused(format!("{addr} answered no events: {e}")))
 }
@@ -61,16 +55,7 @@
         ("zone", &event.zone),
         ("note", &event.note),
     ];
-    let told: Vec<String> = fields
-        .iter()
-        .filter(|(_, v)| !v.is_empty())
-        .map(|(k, v)| format!("{k}={v}"))
-        .collect();
-    format!(
-        "{} {} {} {}",
-        stamp_ms(event.stamp),
-        event.host,
-        event.kind,
-        told.join(" ")
-    )
+    let told: Vec<String> =
+        fields.iter().filter(|(_, v)| !v.is_empty()).map(|(k, v)| format!("{k}={v}")).collect();
+    format!("{} {} {} {}", stamp_ms(event.stamp), event.host, event.kind, told.join(" "))
 }
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -29,10 +29,8 @@
 /// Starts logging; the level comes from `RUST_LOG`.
 pub fn start(format: LogFormat) {
     let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info,poem=warn"));
-    let logs = tracing_subscriber::fmt()
-        .with_env_filter(filter)
-        .with_writer(std::io::stderr)
-        .with_target(false);
+    let logs =
+        tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_target(false);
     match format {
         LogFormat::Text => logs.init(),
         LogFormat::Json => logs.json().init(),
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -14,19 +14,14 @@
 
 fn plan() -> Plan {
     let extra = "timing: { fresh_ms: 800, dead_ms: 1600, beat_ms: 100, deadline_ms: 8000 },".into();
-    Plan {
-        extra,
-        ..Plan::new(env!("CARGO_BIN_EXE_lagoonrelay").as_ref())
-    }
+    Plan { extra, ..Plan::new(env!("CARGO_BIN_EXE_lagoonrelay").as_ref()) }
 }
 
 async fn load(fleet: &Fleet, callers: usize) -> Load {
     let addrs: Vec<String> = (0..fleet.entries.len()).map(|n| fleet.callers(n)).collect();
     static RUN: AtomicU64 = AtomicU64::new(0);
     let run = RUN.fetch_add(1, Ordering::SeqCst);
-    Load::start(callers, &addrs, move |n| {
-        Ask::single("a", &format!("r{run}-{n}"), 30 + n % 40)
-    })
+    Load::start(callers, &addrs, move |n| Ask::single("a", &format!("r{run}-{n}"), 30 + n % 40))
 }
 
 async fn more(load: &Load) {
@@ -113,10 +108,7 @@
     }
     let mut code = None;
     while code.is_none() {
-        code = fleet.entries[1]
-            .process
-            .as_mut()
-            .and_then(trial::process::Process::exit_code);
+        code = fleet.entries[1].process.as_mut().and_then(trial::process::Process::exit_code);
         tokio::time::sleep(std::time::Duration::from_millis(20)).await;
     }
     assert_that!(code, some(eq(3)), "it knows that it is shut out");
@@ -132,23 +124,12 @@
     fleet.set_up(&[("a", 1, 3)], 2).await;
     let all = load(&fleet, 6).await;
     more(&all).await;
-    fleet
-        .misbehave(Misbehaviour {
-            down: true,
-            ..Misbehaviour::default()
-        })
-        .await;
+    fleet.misbehave(Misbehaviour { down: true, ..Misbehaviour::default() }).await;
     let mut told = all.stop().await;
-    let one = Load::start(6, &[fleet.callers(1)], |n| {
-        Ask::single("a", &format!("one-{n}"), 20)
-    });
+    let one = Load::start(6, &[fleet.callers(1)], |n| Ask::single("a", &format!("one-{n}"), 20));
     until("two tasks at once through one host", || async {
-        let records: Vec<_> = fleet
-            .all_records()
-            .await
-            .into_iter()
-            .filter(|r| r.body.starts_with("one"))
-            .collect();
+        let records: Vec<_> =
+            fleet.all_records().await.into_iter().filter(|r| r.body.starts_with("one")).collect();
         check::most_running(&records, "a") >= 2
     })
     .await;
@@ -170,18 +151,11 @@
     let told = load.stop().await;
     let records = fleet.all_records().await;
     assert_that!(check::answers(&told, &records), is_empty());
-    let after: Vec<_> = records
-        .iter()
-        .filter(|r| r.ended == 0 || r.ended > lowered)
-        .cloned()
-        .collect();
+    let after: Vec<_> = records.iter().filter(|r| r.ended == 0 || r.ended > lowered).cloned().collect();
     let after: Vec<_> = after.into_iter().map(|r| clip(r, lowered)).collect();
     assert_that!(check::most_running(&after, "a"), le(2));
 }
 
 fn clip(record: standin::worker::Record, from: u64) -> standin::worker::Record {
-    standin::worker::Record {
-        started: record.started.max(from),
-        ..record
-    }
+    standin::worker::Record { started: record.started.max(from), ..record }
 }
--- a/tests/once.rs
+++ b/tests/once.rs
@@ -11,19 +11,11 @@
 fn plan() -> Plan {
     let extra =
         "timing: { fresh_ms: 800, dead_ms: 3000, beat_ms: 100, probe_ms: 300, deadline_ms: 4000 },".into();
-    Plan {
-        extra,
-        ..Plan::new(env!("CARGO_BIN_EXE_lagoonrelay").as_ref())
-    }
+    Plan { extra, ..Plan::new(env!("CARGO_BIN_EXE_lagoonrelay").as_ref()) }
 }
 
 async fn starts(fleet: &Fleet, body: &str) -> usize {
-    fleet
-        .all_records()
-        .await
-        .iter()
-        .filter(|r| r.body == body)
-        .count()
+    fleet.all_records().await.iter().filter(|r| r.body == body).count()
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -33,22 +25,14 @@
     let addr = fleet.callers(0);
     let first =
         tokio::spawn(async move { call(&Fetcher::default(), &addr, &Ask::booking("a", "b1", 400)).await });
-    until("the booking started", || async {
-        starts(&fleet, "b1").await == 1
-    })
-    .await;
+    until("the booking started", || async { starts(&fleet, "b1").await == 1 }).await;
     if let Some(process) = &mut fleet.entries[0].process {
         process.kill();
     }
     let lost = first.await.unwrap();
     assert_that!(lost.status, eq(0), "the first answer is lost");
     for number in [1, 2] {
-        let told = call(
-            &Fetcher::default(),
-            &fleet.callers(number),
-            &Ask::booking("a", "b1", 400),
-        )
-        .await;
+        let told = call(&Fetcher::default(), &fleet.callers(number), &Ask::booking("a", "b1", 400)).await;
         assert_that!(told.ran(), eq(true), "{told:?}");
     }
     assert_that!(starts(&fleet, "b1").await, eq(1));
@@ -78,10 +62,8 @@
     }
     let records = fleet.all_records().await;
     assert_that!(told.iter().any(trial::caller::Told::ran), eq(true));
-    let twice: Vec<String> = check::answers(&told, &records)
-        .into_iter()
-        .filter(|b| b.contains("times"))
-        .collect();
+    let twice: Vec<String> =
+        check::answers(&told, &records).into_iter().filter(|b| b.contains("times")).collect();
     assert_that!(twice, is_empty());
 }
 
@@ -94,14 +76,7 @@
     fleet.set_between(1, 2, Mode::Silent);
     let mut told = Vec::new();
     for number in 0..3 {
-        told.push(
-            call(
-                &Fetcher::default(),
-                &fleet.callers(number),
-                &Ask::booking("a", "cut", 5),
-            )
-            .await,
-        );
+        told.push(call(&Fetcher::default(), &fleet.callers(number), &Ask::booking("a", "cut", 5)).await);
     }
     for one in &told {
         assert_that!(one.verdict, eq(Some(Verdict::MayHaveRun)), "{one:?}");
@@ -110,13 +85,7 @@
     fleet.set_between(0, 2, Mode::Pass);
     fleet.set_between(1, 2, Mode::Pass);
     until("the booking made after the cut", || async {
-        call(
-            &Fetcher::default(),
-            &fleet.callers(1),
-            &Ask::booking("a", "cut", 5),
-        )
-        .await
-        .ran()
+        call(&Fetcher::default(), &fleet.callers(1), &Ask::booking("a", "cut", 5)).await.ran()
     })
     .await;
     assert_that!(starts(&fleet, "cut").await, eq(1));
@@ -133,12 +102,7 @@
     for number in 0..3 {
         let told = call(&http, &fleet.callers(number), &Ask::booking("a", "lost", 5)).await;
         assert_that!(told.ran(), eq(true), "{told:?}");
-        let told = call(
-            &http,
-            &fleet.callers(number),
-            &Ask::single("a", &format!("s{number}"), 5),
-        )
-        .await;
+        let told = call(&http, &fleet.callers(number), &Ask::single("a", &format!("s{number}"), 5)).await;
         assert_that!(told.ran(), eq(true), "{told:?}");
     }
     assert_that!(starts(&fleet, "lost").await, eq(1));
@@ -146,36 +110,16 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn tells_that_it_may_have_run_when_the_worker_has_restarted() {
-    let mut fleet = Fleet::start(Plan {
-        workers: 1,
-        zones: 1,
-        ..plan()
-    })
-    .await;
+    let mut fleet = Fleet::start(Plan { workers: 1, zones: 1, ..plan() }).await;
     fleet.set_up(&[("a", 1, 8)], 1).await;
     assert_that!(
-        call(
-            &Fetcher::default(),
-            &fleet.callers(0),
-            &Ask::booking("a", "gone", 5)
-        )
-        .await
-        .ran(),
+        call(&Fetcher::default(), &fleet.callers(0), &Ask::booking("a", "gone", 5)).await.ran(),
         eq(true)
     );
     fleet.restart_worker(0).await;
-    let told = call(
-        &Fetcher::default(),
-        &fleet.callers(1),
-        &Ask::booking("a", "gone", 5),
-    )
-    .await;
+    let told = call(&Fetcher::default(), &fleet.callers(1), &Ask::booking("a", "gone", 5)).await;
     assert_that!(told.verdict, eq(Some(Verdict::MayHaveRun)), "{told:?}");
-    assert_that!(
-        starts(&fleet, "gone").await,
-        eq(0),
-        "the restarted worker has not run it again"
-    );
+    assert_that!(starts(&fleet, "gone").await, eq(0), "the restarted worker has not run it again");
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -184,24 +128,14 @@
     fleet.set_up(&[("a", 1, 8)], 2).await;
     let http = Fetcher::default();
     for number in 0..9 {
-        let told = call(
-            &http,
-            &fleet.callers(number % 3),
-            &Ask::quote("a", &format!("w{number}"), 5),
-        )
-        .await;
+        let told = call(&http, &fleet.callers(number % 3), &Ask::quote("a", &format!("w{number}"), 5)).await;
         assert_that!(told.ran(), eq(true), "{told:?}");
     }
     for worker in &fleet.workers {
         worker.proxy.silence_open();
     }
     for number in 0..3 {
-        let told = call(
-            &http,
-            &fleet.callers(number),
-            &Ask::booking("a", &format!("q{number}"), 5),
-        )
-        .await;
+        let told = call(&http, &fleet.callers(number), &Ask::booking("a", &format!("q{number}"), 5)).await;
         assert_that!(told.ran(), eq(true), "{told:?}");
         assert_that!(starts(&fleet, &format!("q{number}")).await, eq(1));
     }
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -38,12 +38,7 @@
         let told = call(&http, &fleet.callers(number), &ask).await;
         assert_that!(told.ran(), eq(true), "{told:?}");
     }
-    let starts = fleet
-        .all_records()
-        .await
-        .into_iter()
-        .filter(|r| r.body == "once")
-        .count();
+    let starts = fleet.all_records().await.into_iter().filter(|r| r.body == "once").count();
     assert_that!(starts, eq(1));
 }
 
@@ -51,12 +46,7 @@
 async fn refuses_work_without_a_granted_key() {
     let fleet = Fleet::start(plan()).await;
     fleet.set_up(&[("a", 1, 8)], 2).await;
-    let told = call(
-        &Fetcher::default(),
-        &fleet.callers(1),
-        &Ask::quote("nobody", "x", 5),
-    )
-    .await;
+    let told = call(&Fetcher::default(), &fleet.callers(1), &Ask::quote("nobody", "x", 5)).await;
     assert_that!((told.status, told.verdict), eq((401, Some(Verdict::NotRun))));
     assert_that!(fleet.all_records().await, is_empty());
 }
--- a/tests/zones.rs
+++ b/tests/zones.rs
@@ -13,10 +13,7 @@
 
 fn plan() -> Plan {
     let extra = "timing: { fresh_ms: 1000, dead_ms: 60000, beat_ms: 100, deadline_ms: 4000 },".into();
-    Plan {
-        extra,
-        ..Plan::new(env!("CARGO_BIN_EXE_lagoonrelay").as_ref())
-    }
+    Plan { extra, ..Plan::new(env!("CARGO_BIN_EXE_lagoonrelay").as_ref()) }
 }
 
 fn load(fleet: &Fleet) -> Load {
@@ -68,11 +65,7 @@
         .map(|r| format!("{} ms after acceptance: {}", r.started - accepted, r.body))
         .collect();
     assert_that!(late, is_empty());
-    assert_that!(
-        records.iter().any(|r| r.started > before_return),
-        eq(true),
-        "the zone is used again"
-    );
+    assert_that!(records.iter().any(|r| r.started > before_return), eq(true), "the zone is used again");
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -89,11 +82,7 @@
     let http = Fetcher::default();
     for number in 0..3 {
         let told = call(&http, &fleet.callers(number), &Ask::quote("a", "late", 5)).await;
-        assert_that!(
-            told.verdict,
-            eq(Some(edge::Verdict::NotRun)),
-            "host {number}: {told:?}"
-        );
+        assert_that!(told.verdict, eq(Some(edge::Verdict::NotRun)), "host {number}: {told:?}");
     }
     let told = load.stop().await;
     let records = fleet.all_records().await;
