Model checking of units, in force and claims, with a mutant for every rule

Cause: the tests on real processes meet few of the orders in which messages, pauses and crashes can come.

Freshness became a crate of its own over any type of time.

Failed first: a first model of 'in force' let every host ask and did not end in 24 GB; one asker is enough, since the others are alike. A first mutant that hides earlier claims was not noticed with two rounds: it needs a host that jumps from round one to three, so the offers that lead there are fixed and the rest is searched.

--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -10,7 +10,6 @@
 mod attempt;
 mod command;
 mod drain;
-mod fresh;
 mod jobs;
 mod members;
 mod node;
--- a/components/entry/src/report.rs
+++ b/components/entry/src/report.rs
@@ -45,7 +45,7 @@
             "incarnation": format!("{:016x}", self.inc),
             "offset": state.tables.next,
             "confirmed_ms_ago": age(confirmed.map(|at| now.saturating_duration_since(at))),
-            "log_ms_ago": age(state.fresh.log_age(now)),
+            "log_ms_ago": age(state.fresh.log().map(|at| now.saturating_duration_since(at))),
             "starts_work": state.fresh_until(now, self.fresh()).is_some() && state.is_live() && !state.leaving,
             "votes": state.synced,
             "claims": state.claims.len(),
--- a/components/entry/src/state.rs
+++ b/components/entry/src/state.rs
@@ -6,11 +6,11 @@
 use edge::HostInfo;
 use escrow::Purse;
 use fold::{Act, Incarnation, MemberState, Outcome, Refusal, Tables};
+use fresh::Freshness;
 use tokio::sync::oneshot;
 use wire::RawEntry;
 
 use crate::admit::Queues;
-use crate::fresh::Freshness;
 
 const RECENT_ENTRIES: usize = 4096;
 const EJECT_FAILURES: u32 = 5;
@@ -35,7 +35,7 @@
     /// True once the claims of a majority are copied.
     pub synced: bool,
     /// Confirmations of the offset.
-    pub fresh: Freshness,
+    pub fresh: Freshness<Instant>,
     /// Requests and jobs that wait.
     pub queues: Queues,
     /// Jobs that a task of this host looks after.
@@ -186,8 +186,7 @@
     /// A majority of the peers cannot tell: only the host that accepted a job may have applied it.
     #[must_use]
     pub fn read_log_since(&self, since: Instant) -> bool {
-        let now = Instant::now();
-        self.fresh.log_age(now).is_some_and(|age| age <= now.saturating_duration_since(since))
+        self.fresh.log().is_some_and(|at| at >= since)
     }
 
     /// Checks that a task may be started on a worker now; yields until when.
--- a/components/entry/src/fresh.rs
+++ b/components/fresh/src/lib.rs
@@ -2,36 +2,48 @@
 //!
 //! A host confirms that it has applied everything in force either at the log or through a majority of the
 //! members. A confirmation counts from before the question was sent, on this host's monotonic clock, so a
-//! pause between question and answer uses it up.
+//! pause between question and answer uses it up. The type of time is the caller's, so that the daemon uses
+//! its clock and the model checker its steps.
 
 use std::collections::BTreeMap;
-use std::time::{Duration, Instant};
 
-use fold::Incarnation;
+/// Identifies one run of one entry host.
+pub type Incarnation = u64;
 
 /// What a peer last said about its offset.
-#[derive(Debug, Clone, Copy)]
-struct Said {
-    asked: Instant,
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+struct Said<T> {
+    asked: T,
     applied: u64,
 }
 
 /// Confirmations so far.
-#[derive(Debug, Clone, Default)]
-pub struct Freshness {
-    log: Option<Instant>,
-    peers: BTreeMap<Incarnation, Said>,
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Freshness<T> {
+    log: Option<T>,
+    peers: BTreeMap<Incarnation, Said<T>>,
 }
 
-impl Freshness {
+impl<T> Default for Freshness<T> {
+    fn default() -> Self {
+        Self { log: None, peers: BTreeMap::new() }
+    }
+}
+
+impl<T: Copy + Ord> Freshness<T> {
     /// The log's tail, asked for at `asked`, is applied.
-    pub fn confirm_log(&mut self, asked: Instant) {
+    pub fn confirm_log(&mut self, asked: T) {
         self.log = self.log.max(Some(asked));
     }
 
     /// A peer, asked at `asked`, has applied everything before `applied`.
-    pub fn confirm_peer(&mut self, peer: Incarnation, asked: Instant, applied: u64) {
-        self.peers.insert(peer, Said { asked, applied });
+    pub fn confirm_peer(&mut self, peer: Incarnation, asked: T, applied: u64) {
+        match self.peers.get(&peer) {
+            Some(said) if said.asked > asked => {}
+            _ => {
+                self.peers.insert(peer, Said { asked, applied });
+            }
+        }
     }
 
     /// Forgets peers that are no longer members.
@@ -45,23 +57,23 @@
         self.peers.get(&peer).map(|said| said.applied)
     }
 
-    /// Time since the log was last confirmed.
+    /// When the log was last confirmed.
     #[must_use]
-    pub fn log_age(&self, now: Instant) -> Option<Duration> {
-        self.log.map(|at| now.saturating_duration_since(at))
+    pub const fn log(&self) -> Option<T> {
+        self.log
     }
 
     /// Latest time at which all that was in force is known to have been applied.
     ///
     /// `next` is this host's own next offset; `members` counts it too.
     #[must_use]
-    pub fn confirmed(&self, now: Instant, next: u64, members: usize) -> Option<Instant> {
+    pub fn confirmed(&self, now: T, next: u64, members: usize) -> Option<T> {
         self.log.max(self.through_majority(now, next, members))
     }
 
-    fn through_majority(&self, now: Instant, next: u64, members: usize) -> Option<Instant> {
+    fn through_majority(&self, now: T, next: u64, members: usize) -> Option<T> {
         let behind = self.peers.values().filter(|said| said.applied <= next);
-        let mut asked: Vec<Instant> = behind.map(|said| said.asked).collect();
+        let mut asked: Vec<T> = behind.map(|said| said.asked).collect();
         asked.push(now);
         asked.sort_unstable_by(|a, b| b.cmp(a));
         asked.get(members / 2).copied()
--- /dev/null
+++ b/components/spec/tests/models.rs
@@ -0,0 +1,93 @@
+//! Every model keeps its promise; every mutant breaks it.
+
+use googletest::prelude::*;
+use spec::in_force::{self, InForce};
+use spec::once::{self, Offer, Once};
+use spec::units::{self, Units};
+use spec::{Model, search};
+
+/// Above any model here; keeps memory bounded.
+const MOST_STATES: usize = 1_500_000;
+
+fn holds(model: &impl Model, name: &str) {
+    let found = search(model, MOST_STATES);
+    println!("{name}: {} states, promise kept: {}", found.states, found.broken.is_none());
+    assert_that!(found.whole, eq(true), "{name} is larger than the search");
+    assert_that!(found.broken.map(|way| way.len()), none(), "{name}");
+}
+
+fn breaks(model: &impl Model, name: &str) {
+    let found = search(model, MOST_STATES);
+    println!("{name}: broken after {:?} steps", found.broken.as_ref().map(|way| way.len() - 1));
+    assert_that!(found.broken.is_some(), eq(true), "{name} is not noticed");
+}
+
+fn units(mutant: Option<units::Mutant>) -> Units {
+    Units { hosts: 3, limit: 2, gives: 2, starts: 3, mutant }
+}
+
+fn in_force(mutant: Option<in_force::Mutant>) -> InForce {
+    InForce { hosts: 3, steps: 3, lasts: 1, log_answers: true, answers: 2, mutant }
+}
+
+fn once(mutant: Option<once::Mutant>) -> Once {
+    Once { members: 3, rounds: vec![3, 3], lead: Vec::new(), mutant }
+}
+
+#[gtest]
+fn keeps_a_limit_through_transfers_and_reclaim() {
+    holds(&units(None), "units");
+}
+
+#[gtest]
+fn notices_each_mutant_of_units() {
+    use units::Mutant::*;
+    for mutant in [
+        GiverDecrementsLast,
+        AddsRepeats,
+        ReclaimsBeforeRevoke,
+        ReclaimsBeforeSettled,
+        ForgetsRunning,
+        ReceivesFromFenced,
+    ] {
+        breaks(&units(Some(mutant)), &format!("{mutant:?}"));
+    }
+}
+
+#[gtest]
+fn keeps_accepted_commands_in_force() {
+    holds(&in_force(None), "in force, log answers");
+    holds(&InForce { log_answers: false, ..in_force(None) }, "in force, log out");
+}
+
+#[gtest]
+fn notices_each_mutant_of_in_force() {
+    use in_force::Mutant::*;
+    for mutant in [CountsFromAnswer, AcceptsWithoutMajority, AcceptsAtOnce] {
+        breaks(&in_force(Some(mutant)), &format!("{mutant:?}"));
+    }
+}
+
+#[gtest]
+fn runs_a_keyed_request_at_most_once() {
+    holds(&once(None), "once, two hosts");
+    holds(&Once { rounds: vec![2, 1, 1], ..once(None) }, "once, three hosts");
+}
+
+#[gtest]
+fn notices_each_mutant_of_once() {
+    use once::Mutant::*;
+    for mutant in [StartsUnsettled, NeedsNoMajority, AsksWithoutBarring] {
+        breaks(&once(Some(mutant)), &format!("{mutant:?}"));
+    }
+}
+
+/// Three hosts in up to three rounds are too many states; the offers that lead there are fixed.
+#[gtest]
+fn notices_a_member_that_hides_earlier_claims() {
+    let offers = [(0, 0), (1, 0), (1, 1), (2, 0), (2, 2)];
+    let lead: Vec<Offer> = offers.into_iter().map(|(host, member)| Offer { host, member }).collect();
+    let model = Once { rounds: vec![3, 2, 2], lead, ..once(None) };
+    holds(&model, "once, three hosts, three rounds");
+    breaks(&Once { mutant: Some(once::Mutant::HidesEarlier), ..model }, "HidesEarlier");
+}
