--- a/components/trial/src/fleet.rs
+++ b/components/trial/src/fleet.rs
@@ -21,6 +21,7 @@
 /// Operator key of every fleet.
 pub const OPERATOR: &str = "root-operator-key";
 const CALL_TIME: Duration = Duration::from_secs(15);
+const CLOCK_TICKS_PER_SECOND: f64 = 100.0;
 const CALLERS_PORT: u16 = 7001;
 const ADMIN_PORT: u16 = 7002;
 const PEER_PORT: u16 = 7003;
@@ -46,6 +47,8 @@
     pub zones: u8,
     /// Slots of each worker.
     pub slots: u32,
+    /// More workers that are listed and never run.
+    pub listed: u16,
     /// More settings of entry hosts, as JSON members that end with a comma.
     pub extra: String,
 }
@@ -54,7 +57,15 @@
     /// Three entry hosts, six workers with eight slots, three zones.
     #[must_use]
     pub fn new(program: &Path) -> Self {
-        Self { program: program.to_owned(), entries: 3, workers: 6, zones: 3, slots: 8, extra: String::new() }
+        Self {
+            program: program.to_owned(),
+            entries: 3,
+            workers: 6,
+            zones: 3,
+            slots: 8,
+            listed: 0,
+            extra: String::new(),
+        }
     }
 }
 
@@ -234,7 +245,8 @@
     /// # Panics
     /// When the stand-in does not take it.
     pub async fn put_list(&self) {
-        let infos: Vec<&HostInfo> = self.workers.iter().map(|w| &w.info).collect();
+        let mut infos: Vec<HostInfo> = self.workers.iter().map(|w| w.info.clone()).collect();
+        infos.extend((0..self.plan.listed).map(|n| self.listed_host(n)));
         let body = Bytes::from(serde_json::to_vec(&infos).expect("host list as JSON"));
         let headers =
             HeaderMap::from_iter([(header::CONTENT_TYPE, HeaderValue::from_static("application/json"))]);
@@ -244,6 +256,19 @@
         assert!(done.status.is_success(), "host list is not taken: {}", done.status);
     }
 
+    /// A worker that is listed and never run.
+    fn listed_host(&self, number: u16) -> HostInfo {
+        let zone = format!("z{}", number % u16::from(self.plan.zones));
+        HostInfo {
+            name: format!("listed-{number}"),
+            addr: self.at(4, WORKER_PORT).to_string(),
+            rack: format!("{zone}-r{}", number / 4),
+            zone,
+            slots: self.plan.slots,
+            state: HostState::Live,
+        }
+    }
+
     async fn wait_answer(&self, addr: SocketAddr, path: &str) {
         let addr = addr.to_string();
         let http = Fetcher::unpooled();
@@ -311,6 +336,63 @@
         assert_eq!(result, Some("accepted"), "{line}: {answer:?}");
     }
 
+    /// Sends commands, many at a time, that must all be accepted.
+    ///
+    /// # Panics
+    /// When one is not.
+    pub async fn order_many(&self, number: usize, lines: &[String]) {
+        for chunk in lines.chunks(64) {
+            futures_util::future::join_all(chunk.iter().map(|line| self.order(number, line))).await;
+        }
+    }
+
+    /// Processor time of an entry host so far, in seconds.
+    ///
+    /// # Panics
+    /// When it is down.
+    #[must_use]
+    pub fn cpu_seconds(&self, number: usize) -> f64 {
+        let stat = self.proc_file(number, "stat");
+        let fields: Vec<&str> = stat.rsplit(") ").next().unwrap_or_default().split(' ').collect();
+        let ticks = |n: usize| fields.get(n).and_then(|f| f.parse::<f64>().ok()).unwrap_or(0.0);
+        (ticks(11) + ticks(12)) / CLOCK_TICKS_PER_SECOND
+    }
+
+    /// Resident memory of an entry host in megabytes.
+    ///
+    /// # Panics
+    /// When it is down.
+    #[must_use]
+    pub fn memory_mb(&self, number: usize) -> f64 {
+        let status = self.proc_file(number, "status");
+        let line = status.lines().find(|l| l.starts_with("VmRSS:")).unwrap_or_default();
+        let kb = line.split_whitespace().nth(1).and_then(|n| n.parse::<f64>().ok());
+        kb.unwrap_or(0.0) / 1024.0
+    }
+
+    fn proc_file(&self, number: usize, name: &str) -> String {
+        let id = self.entries[number].process.as_ref().expect("a host that is up").id();
+        std::fs::read_to_string(format!("/proc/{id}/{name}")).unwrap_or_default()
+    }
+
+    /// Size of the tables as a checkpoint, folded here from the log.
+    pub async fn state_bytes(&self) -> usize {
+        let mut tables = fold::Tables::default();
+        for raw in self.log_records().await.entries {
+            match serde_json::from_str(&raw.data) {
+                Ok(entry) => drop(tables.apply(&entry)),
+                Err(_) => tables.skip(),
+            }
+        }
+        serde_json::to_string(&tables).map_or(0, |text| text.len())
+    }
+
+    /// Address of a worker without its proxy.
+    #[must_use]
+    pub fn worker_addr(&self, number: usize) -> String {
+        self.workers[number].addr.to_string()
+    }
+
     /// One pool of all workers, queue `quotes`, and teams with shares, limits and keys named after them.
     pub async fn set_up(&self, teams: &[(&str, u32, u32)], budget: u32) {
         self.order(0, &format!("set pool main budget {budget}")).await;
--- a/components/trial/src/proxy.rs
+++ b/components/trial/src/proxy.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -56,6 +57,7 @@
 #[derive(Debug)]
 pub struct Proxy {
     rules: Arc<watch::Sender<Rules>>,
+    bytes: Arc<AtomicU64>,
 }
 
 impl Proxy {
@@ -66,8 +68,15 @@
     pub async fn start(listen: SocketAddr, target: SocketAddr) -> std::io::Result<Self> {
         let listener = TcpListener::bind(listen).await?;
         let rules = Arc::new(watch::channel(Rules::default()).0);
-        tokio::spawn(accept(listener, target, Arc::clone(&rules)));
-        Ok(Self { rules })
+        let bytes = Arc::default();
+        tokio::spawn(accept(listener, target, Arc::clone(&rules), Arc::clone(&bytes)));
+        Ok(Self { rules, bytes })
+    }
+
+    /// Bytes passed on so far, both ways.
+    #[must_use]
+    pub fn bytes(&self) -> u64 {
+        self.bytes.load(Ordering::Relaxed)
     }
 
     /// Sets the mode for all dialers.
@@ -88,7 +97,12 @@
     }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, rules: Arc<watch::Sender<Rules>>) {
+async fn accept(
+    listener: TcpListener,
+    target: SocketAddr,
+    rules: Arc<watch::Sender<Rules>>,
+    bytes: Arc<AtomicU64>,
+) {
     while let Ok((stream, source)) = listener.accept().await {
         let (mode, generation) = {
             let rules = rules.borrow();
@@ -98,7 +112,12 @@
             tokio::spawn(carry(
                 stream,
                 target,
-                Watcher { rules: rules.subscribe(), source: source.ip(), generation },
+                Watcher {
+                    rules: rules.subscribe(),
+                    source: source.ip(),
+                    generation,
+                    bytes: Arc::clone(&bytes),
+                },
             ));
         }
     }
@@ -109,6 +128,7 @@
     rules: watch::Receiver<Rules>,
     source: IpAddr,
     generation: u64,
+    bytes: Arc<AtomicU64>,
 }
 
 impl Watcher {
@@ -160,6 +180,7 @@
         if let Mode::Delay(time) = mode {
             tokio::time::sleep(time).await;
         }
+        watcher.bytes.fetch_add(count as u64, Ordering::Relaxed);
         if to.write_all(&chunk[..count]).await.is_err() {
             return;
         }
