Checkpoint running jobs out of a place that is taken out; split serve and once

Change: a supervisor that finds its worker out of service checkpoints the task; the checkpoint goes with the release on the log, and the next attempt resumes from it on another worker. A lost answer does no harm: the worker gives the same checkpoint again. Calls about jobs and the retry budget have files of their own.

--- a/components/edge/src/worker.rs
+++ b/components/edge/src/worker.rs
@@ -16,6 +16,9 @@
 /// Response header with the number of tasks running on the worker.
 pub const RUNNING_HEADER: &str = "x-running";
 
+/// Header with the checkpoint that a task goes on from.
+pub const RESUME_HEADER: &str = "x-resume";
+
 /// How a task is started.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TaskKind {
@@ -44,6 +47,8 @@
     pub path: String,
     /// Caller's body.
     pub body: Bytes,
+    /// Checkpoint to go on from.
+    pub resume: Option<String>,
 }
 
 /// A task's answer.
@@ -76,6 +81,11 @@
     Barred,
     /// Stopped while running.
     Stopped,
+    /// Stopped while running; it can go on elsewhere.
+    Checkpointed {
+        /// What another worker needs to go on.
+        token: String,
+    },
 }
 
 /// A running task of a revoked lease.
@@ -112,6 +122,9 @@
     /// Stops a task, or bars its id if it has not been seen.
     fn stop<'a>(&'a self, addr: &'a str, id: &'a str) -> Call<'a, TaskState>;
 
+    /// Checkpoints a running task and stops it; any other is left as it is.
+    fn checkpoint<'a>(&'a self, addr: &'a str, id: &'a str) -> Call<'a, TaskState>;
+
     /// Refuses all later starts under a lease and lists what still runs under it.
     fn revoke<'a>(&'a self, addr: &'a str, lease: Incarnation) -> Call<'a, Vec<LeasedTask>>;
 
@@ -170,6 +183,12 @@
         })
     }
 
+    fn checkpoint<'a>(&'a self, addr: &'a str, id: &'a str) -> Call<'a, TaskState> {
+        Box::pin(async move {
+            self.ask(Fetch::post(addr, &format!("/checkpoint?id={id}"), Bytes::new(), self.timeout)).await
+        })
+    }
+
     fn revoke<'a>(&'a self, addr: &'a str, lease: Incarnation) -> Call<'a, Vec<LeasedTask>> {
         Box::pin(async move {
             self.ask(Fetch::post(addr, &format!("/revoke?lease={lease}"), Bytes::new(), self.timeout)).await
@@ -196,6 +215,9 @@
     put("x-team", &order.team)?;
     put("x-kind", if order.kind == TaskKind::Job { "job" } else { "request" })?;
     put("x-not-after", &order.not_after.to_string())?;
+    if let Some(token) = &order.resume {
+        put(RESUME_HEADER, token)?;
+    }
     Ok(headers)
 }
 
--- a/components/entry/src/attempt.rs
+++ b/components/entry/src/attempt.rs
@@ -30,6 +30,8 @@
     pub path: String,
     /// Caller's body.
     pub body: Bytes,
+    /// Checkpoint to go on from.
+    pub resume: Option<String>,
 }
 
 /// What became of an attempt.
@@ -122,6 +124,7 @@
             not_after: wall_ms() + spare,
             path: task.path.clone(),
             body: task.body.clone(),
+            resume: task.resume.clone(),
         })
     }
 
@@ -161,7 +164,9 @@
             match self.edges.workers.bar(addr, id).await {
                 Ok(TaskState::Barred | TaskState::Unseen) => return Settled::Barred,
                 Ok(TaskState::Ended { status, body }) => return Settled::Ended(answer_of(status, body)),
-                Ok(TaskState::Stopped) => return Settled::Unknown("task was stopped while it ran".into()),
+                Ok(TaskState::Stopped | TaskState::Checkpointed { .. }) => {
+                    return Settled::Unknown("task was stopped while it ran".into());
+                }
                 Ok(TaskState::Running) => last = "task still runs".into(),
                 Err(fault) => last = fault.reason,
             }
--- a/components/entry/src/jobs.rs
+++ b/components/entry/src/jobs.rs
@@ -167,12 +167,14 @@
             kind: TaskKind::Job,
             path: job.path.clone(),
             body: Bytes::from(job.body.clone()),
+            resume: job.resume.clone(),
         };
         self.note_job("job-claim", &attempt, &job.team);
         match self.attempt_held(&hold, &task, Instant::now() + START_TIME).await {
             Tried::Answered(_) | Tried::Unknown { .. } => self.supervise(&attempt).await,
             Tried::NotRun { full, .. } => {
-                let release = Act::JobRelease { job: id.to_owned(), attempt: attempt.number, bad: !full };
+                let release =
+                    Act::JobRelease { job: id.to_owned(), attempt: attempt.number, bad: !full, resume: None };
                 self.propose(release, LOG_WAIT).await;
             }
         }
@@ -217,7 +219,11 @@
             self.edges.workers.bar(addr, &id).await
         };
         match asked {
+            Ok(TaskState::Running) if !self.state.lock().in_service(&attempt.worker) => {
+                self.checkpoint(attempt, job, addr).await
+            }
             Err(_) | Ok(TaskState::Running) => Next::Wait,
+            Ok(TaskState::Checkpointed { token }) => Next::Write(resume(attempt, token)),
             Ok(TaskState::Ended { status, body }) => ended(attempt, job, status, body),
             Ok(TaskState::Stopped) if job.cancelled => Next::Write(end(attempt, JobOutcome::Cancelled)),
             Ok(TaskState::Stopped) => lost(attempt, job, "it was stopped at its worker"),
@@ -225,6 +231,15 @@
         }
     }
 
+    /// Moves a running task away from a worker that is out of service.
+    async fn checkpoint(&self, attempt: &Attempt, job: &Job, addr: &str) -> Next {
+        match self.edges.workers.checkpoint(addr, &attempt.task_id()).await {
+            Ok(TaskState::Checkpointed { token }) => Next::Write(resume(attempt, token)),
+            Ok(TaskState::Ended { status, body }) => ended(attempt, job, status, body),
+            Ok(_) | Err(_) => Next::Wait,
+        }
+    }
+
     /// The worker has not seen the task: it never ran, unless the worker has restarted since.
     async fn not_started(&self, attempt: &Attempt, job: &Job, addr: &str) -> Next {
         match self.edges.workers.usage(addr).await {
@@ -256,7 +271,11 @@
 }
 
 fn release(attempt: &Attempt, bad: bool) -> Act {
-    Act::JobRelease { job: attempt.job.clone(), attempt: attempt.number, bad }
+    Act::JobRelease { job: attempt.job.clone(), attempt: attempt.number, bad, resume: None }
+}
+
+fn resume(attempt: &Attempt, token: String) -> Act {
+    Act::JobRelease { job: attempt.job.clone(), attempt: attempt.number, bad: false, resume: Some(token) }
 }
 
 fn ended(attempt: &Attempt, job: &Job, status: u16, body: String) -> Next {
--- a/components/entry/src/node.rs
+++ b/components/entry/src/node.rs
@@ -13,6 +13,7 @@
 use tokio::sync::{Notify, mpsc, watch};
 
 use crate::append::{self, Proposal, Proposed};
+use crate::budget::RetryBudget;
 use crate::once::Registry;
 use crate::peers::Links;
 use crate::state::State;
@@ -107,6 +108,7 @@
     pub(crate) beat_kick: Notify,
     pub(crate) links: Links,
     pub(crate) registry: Registry,
+    pub(crate) retries: RetryBudget,
     pub(crate) metrics: Option<PrometheusHandle>,
 }
 
@@ -194,6 +196,7 @@
         beat_kick: Notify::new(),
         links: Links::default(),
         registry: Registry::default(),
+        retries: RetryBudget::default(),
         metrics,
         settings,
     };
--- a/components/entry/src/once.rs
+++ b/components/entry/src/once.rs
@@ -21,7 +21,6 @@
 
 const POLL_TIME: Duration = Duration::from_millis(500);
 const FULL_PAUSE: Duration = Duration::from_millis(20);
-const MAX_EARNED: u32 = 10_000;
 const MAX_RESULTS: usize = 20_000;
 
 /// Result of a keyed request.
@@ -30,39 +29,9 @@
 /// Keyed requests of this host: in flight, and answered lately.
 #[derive(Debug, Default)]
 pub struct Registry {
-    /// Budget for retries of idempotent requests.
-    pub budget: RetryBudget,
     entries: Mutex<Entries>,
 }
 
-/// Retries that the traffic so far has earned, in hundredths.
-#[derive(Debug)]
-pub struct RetryBudget {
-    hundredths: Mutex<u32>,
-}
-
-impl Default for RetryBudget {
-    fn default() -> Self {
-        Self { hundredths: Mutex::new(MAX_EARNED / 10) }
-    }
-}
-
-impl RetryBudget {
-    /// Adds what one request earns.
-    pub fn earn(&self, percent: u32) {
-        let mut earned = self.hundredths.lock();
-        *earned = (*earned + percent).min(MAX_EARNED);
-    }
-
-    /// Spends one retry, if one is earned.
-    pub fn spend(&self) -> bool {
-        let mut earned = self.hundredths.lock();
-        let enough = *earned >= 100;
-        *earned -= if enough { 100 } else { 0 };
-        enough
-    }
-}
-
 #[derive(Debug, Default)]
 struct Entries {
     results: HashMap<String, watch::Receiver<Option<Done>>>,
@@ -180,6 +149,7 @@
             kind: TaskKind::Request,
             path: work.path.clone(),
             body: work.body.clone(),
+            resume: None,
         };
         match self.attempt(hold, &task, work.deadline).await {
             Tried::Answered(answer) => Round::Done(Ok(answer)),
--- a/components/entry/src/serve.rs
+++ b/components/entry/src/serve.rs
@@ -1,33 +1,28 @@
-//! The callers' side: HTTP requests to queues, and long-running jobs.
+//! The callers' side: HTTP requests to queues.
 //!
-//! `ANY /q/QUEUE/PATH` runs a request; `POST /jobs/QUEUE/PATH` accepts a job, and `GET`, `DELETE` and a listing
-//! of `/jobs` ask for jobs of the caller's own team. Every answer carries the verdict header. The work goes on
-//! when a caller hangs up, so that its end is always known.
+//! `ANY /q/QUEUE/PATH` runs a request. Every answer carries the verdict header. The work goes on when a caller
+//! hangs up, so that its end is always known. Calls about jobs are in `job_calls`.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use edge::{Answer, Fault, TaskKind, VERDICT_HEADER, Verdict};
-use fold::{Act, Job, Outcome};
 use poem::http::{Method, StatusCode, header};
-use poem::web::{Data, Path};
+use poem::web::Data;
 use poem::{Body, EndpointExt, Request, Response, Route, get, handler, post};
 use tokio::net::TcpListener;
 
 use crate::admit::Ask;
-use crate::append::Proposed;
 use crate::attempt::{Task, Tried};
-use crate::jobs::JobView;
+use crate::job_calls;
 use crate::node::{Node, left};
 
 const RETRY_AFTER_SECONDS: &str = "1";
 const KEY_HEADER: &str = "idempotency-key";
 const DEADLINE_HEADER: &str = "x-deadline-ms";
 const URGENT_HEADER: &str = "x-urgent";
-const RERUN_HEADER: &str = "x-rerun";
 const MAX_KEY_BYTES: usize = 256;
-const CATCH_UP_PAUSE: Duration = Duration::from_millis(20);
 const PAUSE_BEFORE_RETRY: Duration = Duration::from_millis(20);
 
 /// A request that has passed the key check.
@@ -44,7 +39,7 @@
 }
 
 /// How often a request may be run.
-enum Repeat {
+pub(crate) enum Repeat {
     /// As often as need be.
     Idempotent,
     /// Once, and it cannot come again.
@@ -54,9 +49,9 @@
 }
 
 /// A refusal before anything ran.
-struct Refusal {
-    status: StatusCode,
-    reason: String,
+pub(crate) struct Refusal {
+    pub(crate) status: StatusCode,
+    pub(crate) reason: String,
 }
 
 /// Serves callers until the node stops.
@@ -64,9 +59,9 @@
     let app = Route::new()
         .at("/ready", get(get_ready))
         .at("/q/:queue/*path", run_request)
-        .at("/jobs", get(list_jobs))
-        .at("/jobs/:job", get(get_job).delete(cancel_job))
-        .at("/jobs/:queue/*path", post(accept_job))
+        .at("/jobs", get(job_calls::list_jobs))
+        .at("/jobs/:job", get(job_calls::get_job).delete(job_calls::cancel_job))
+        .at("/jobs/:queue/*path", post(job_calls::accept_job))
         .data(node);
     let Ok(acceptor) = poem::listener::TcpAcceptor::from_tokio(listener) else {
         return;
@@ -109,10 +104,10 @@
 }
 
 /// Counts a request as being served until dropped.
-struct Serving(Arc<Node>);
+pub(crate) struct Serving(Arc<Node>);
 
 impl Serving {
-    fn begin(node: &Arc<Node>) -> Option<Self> {
+    pub(crate) fn begin(node: &Arc<Node>) -> Option<Self> {
         let mut state = node.state.lock();
         if state.leaving {
             return None;
@@ -161,7 +156,7 @@
     async fn run_idempotent(self: &Arc<Self>, work: &Work) -> Result<Answer, Fault> {
         let mut ask = work.ask.clone();
         let mut tries = 0;
-        self.registry.budget.earn(self.settings.limits.retry_percent);
+        self.retries.earn(self.settings.limits.retry_percent);
         loop {
             let hold = self.admit(&ask, self.queue_until(work.deadline)).await?;
             let place = hold.place();
@@ -179,7 +174,7 @@
             tries += 1;
             let spent = tries >= self.settings.limits.tries || left(work.deadline) < PAUSE_BEFORE_RETRY;
             let free = matches!(&done, Err(fault) if fault.verdict == Verdict::NotRun);
-            if spent || !(free || self.registry.budget.spend()) {
+            if spent || !(free || self.retries.spend()) {
                 return done;
             }
             metrics::counter!("lagoonrelay_retries_total").increment(1);
@@ -198,11 +193,11 @@
     /// A task with a new id.
     fn task(&self) -> Task {
         let id = format!("r{:016x}{:016x}", rand::random::<u64>(), rand::random::<u64>());
-        Task { id, kind: TaskKind::Request, path: self.path.clone(), body: self.body.clone() }
+        Task { id, kind: TaskKind::Request, path: self.path.clone(), body: self.body.clone(), resume: None }
     }
 }
 
-async fn read_work(
+pub(crate) async fn read_work(
     node: &Arc<Node>,
     request: &Request,
     queue: &str,
@@ -245,22 +240,12 @@
     Ok(Ask { team, pool: found.pool.clone(), urgent, failed: Vec::new() })
 }
 
-/// Team of the key that came with a request for jobs.
-fn job_team(node: &Node, request: &Request) -> Result<String, Refusal> {
-    let state = node.state.lock();
-    if state.fresh_until(Instant::now(), node.fresh()).is_none() {
-        return Err(unavailable("this host cannot confirm its configuration"));
-    }
-    let secret = bearer(request).ok_or_else(|| unauthorized("a key is needed"))?;
-    node.team_of(&state.tables, secret).ok_or_else(|| unauthorized("key is not granted"))
-}
-
 /// Secret of the authorization header.
 pub(crate) fn bearer(request: &Request) -> Option<&str> {
     request.header(header::AUTHORIZATION)?.strip_prefix("Bearer ")
 }
 
-fn repeat_of(request: &Request, team: &str) -> Result<Repeat, Refusal> {
+pub(crate) fn repeat_of(request: &Request, team: &str) -> Result<Repeat, Refusal> {
     let Some(key) = request.header(KEY_HEADER) else {
         let idempotent = [Method::GET, Method::HEAD, Method::PUT, Method::DELETE, Method::OPTIONS];
         let same = idempotent.contains(request.method());
@@ -277,157 +262,27 @@
     Ok(Repeat::Keyed(format!("k{}", &hasher.finalize().to_hex()[..32])))
 }
 
-#[handler]
-async fn accept_job(node: Data<&Arc<Node>>, request: &Request, body: Body) -> Response {
-    let queue = request.raw_path_param("queue").unwrap_or_default().to_owned();
-    let (work, team) = match read_work(&node, request, &queue, body).await {
-        Ok(read) => read,
-        Err(refusal) => return refusal.response(),
-    };
-    let job = match repeat_of(request, &team) {
-        Ok(Repeat::Keyed(id)) => id.replacen('k', "j", 1),
-        Ok(_) => format!("j{:016x}{:016x}", rand::random::<u64>(), rand::random::<u64>()),
-        Err(refusal) => return refusal.response(),
-    };
-    let Some(_serving) = Serving::begin(&node) else {
-        return leaving().response();
-    };
-    let act = Act::JobAccept {
-        job: job.clone(),
-        team,
-        queue,
-        path: work.path,
-        body: String::from_utf8_lossy(&work.body).into_owned(),
-        rerun: request.header(RERUN_HEADER) == Some("true"),
-    };
-    match node.propose(act, left(work.deadline)).await {
-        Proposed::Folded(Outcome::Applied(_) | Outcome::Void(fold::Refusal::State(_))) => accepted(&job),
-        Proposed::Folded(Outcome::Void(reason)) => unavailable(&reason.to_string()).response(),
-        Proposed::Withdrawn => unavailable("the log does not answer").response(),
-        Proposed::Open => response_of(Err(Fault::may_have_run(format!("job {job} may be accepted")))),
-    }
-}
-
-fn accepted(job: &str) -> Response {
-    Response::builder()
-        .status(StatusCode::ACCEPTED)
-        .header(header::LOCATION, format!("/jobs/{job}"))
-        .body(serde_json::json!({ "job": job, "state": "accepted" }).to_string())
-}
-
-#[handler]
-fn list_jobs(node: Data<&Arc<Node>>, request: &Request) -> Response {
-    let team = match job_team(&node, request) {
-        Ok(team) => team,
-        Err(refusal) => return refusal.response(),
-    };
-    let state = node.state.lock();
-    let own = state.tables.jobs.iter().filter(|(_, job)| job.team == team);
-    let views: Vec<JobView> = own.map(|(id, job)| JobView::new(id, job)).collect();
-    json_response(&views)
-}
-
-#[handler]
-async fn get_job(node: Data<&Arc<Node>>, request: &Request, Path(id): Path<String>) -> Response {
-    let team = match job_team(&node, request) {
-        Ok(team) => team,
-        Err(refusal) => return refusal.response(),
-    };
-    if let Err(refusal) = find_job(&node, &team, &id).await {
-        return refusal.response();
-    }
-    let wait = request.uri().query().is_some_and(|q| q.contains("wait"));
-    let until = Instant::now() + Duration::from_millis(node.settings.timing.deadline_ms);
-    loop {
-        let changed = node.applied.notified();
-        match own_job(&node, &team, &id) {
-            None => return missing_job(&id).response(),
-            Some(job) if !wait || job.is_over() || left(until) == Duration::ZERO => {
-                return json_response(&JobView::new(&id, &job));
-            }
-            Some(_) => {}
-        }
-        let _ = tokio::time::timeout(left(until), changed).await;
-    }
-}
-
-#[handler]
-async fn cancel_job(node: Data<&Arc<Node>>, request: &Request, Path(id): Path<String>) -> Response {
-    let team = match job_team(&node, request) {
-        Ok(team) => team,
-        Err(refusal) => return refusal.response(),
-    };
-    if let Err(refusal) = find_job(&node, &team, &id).await {
-        return refusal.response();
-    }
-    let wait = Duration::from_millis(node.settings.timing.deadline_ms);
-    match node.propose(Act::JobCancel { jobs: vec![id.clone()] }, wait).await {
-        Proposed::Folded(Outcome::Applied(_)) => accepted(&id),
-        Proposed::Folded(Outcome::Void(reason)) => unavailable(&reason.to_string()).response(),
-        Proposed::Withdrawn => unavailable("the log does not answer").response(),
-        Proposed::Open => response_of(Err(Fault::may_have_run("the cancellation may still take effect"))),
-    }
-}
-
-/// A job, after this host has caught up if it does not know it yet.
-async fn find_job(node: &Node, team: &str, id: &str) -> Result<Job, Refusal> {
-    if let Some(job) = own_job(node, team, id) {
-        return Ok(job);
-    }
-    if !node.catch_up(Instant::now()).await {
-        return Err(unavailable("this host cannot confirm its tables"));
-    }
-    own_job(node, team, id).ok_or_else(|| missing_job(id))
-}
-
-impl Node {
-    /// Waits until all that was on the log at an instant is applied here; false if that takes too long.
-    async fn catch_up(&self, since: Instant) -> bool {
-        let until = since + 2 * Duration::from_millis(self.settings.timing.call_ms);
-        loop {
-            let changed = self.applied.notified();
-            self.tail_kick.notify_one();
-            if self.state.lock().read_log_since(since) {
-                return true;
-            }
-            if left(until) == Duration::ZERO {
-                return false;
-            }
-            let _ = tokio::time::timeout(left(until).min(CATCH_UP_PAUSE), changed).await;
-        }
-    }
-}
-
-/// A job, unless it belongs to another team.
-fn own_job(node: &Node, team: &str, id: &str) -> Option<Job> {
-    node.state.lock().tables.jobs.get(id).filter(|job| job.team == team).cloned()
-}
-
-fn json_response(value: &impl serde::Serialize) -> Response {
+pub(crate) fn json_response(value: &impl serde::Serialize) -> Response {
     match serde_json::to_string(value) {
         Ok(text) => Response::builder().content_type("application/json").body(text),
         Err(error) => response_of(Err(Fault::may_have_run(error.to_string()))),
     }
 }
 
-fn missing_job(id: &str) -> Refusal {
-    Refusal { status: StatusCode::NOT_FOUND, reason: format!("there is no job {id}") }
-}
-
-fn leaving() -> Refusal {
+pub(crate) fn leaving() -> Refusal {
     unavailable("this host is leaving")
 }
 
-fn unavailable(reason: &str) -> Refusal {
+pub(crate) fn unavailable(reason: &str) -> Refusal {
     Refusal { status: StatusCode::SERVICE_UNAVAILABLE, reason: reason.to_owned() }
 }
 
-fn unauthorized(reason: &str) -> Refusal {
+pub(crate) fn unauthorized(reason: &str) -> Refusal {
     Refusal { status: StatusCode::UNAUTHORIZED, reason: reason.to_owned() }
 }
 
 impl Refusal {
-    fn response(self) -> Response {
+    pub(crate) fn response(self) -> Response {
         metrics::counter!("lagoonrelay_refusals_total", "status" => self.status.as_u16().to_string())
             .increment(1);
         let builder =
@@ -439,7 +294,7 @@
 }
 
 /// Maps a result to HTTP.
-fn response_of(done: Result<Answer, Fault>) -> Response {
+pub(crate) fn response_of(done: Result<Answer, Fault>) -> Response {
     match done {
         Ok(answer) => Response::builder()
             .status(answer.status)
--- a/components/fold/src/apply.rs
+++ b/components/fold/src/apply.rs
@@ -63,7 +63,9 @@
                 let phase = JobPhase::Claimed { by, worker: worker.clone(), boot: *boot };
                 self.claim_job(job, *attempt, phase)
             }
-            Act::JobRelease { job, attempt, bad } => self.release_job(job, *attempt, *bad),
+            Act::JobRelease { job, attempt, bad, resume } => {
+                self.release_job(job, *attempt, *bad, resume.as_ref())
+            }
             Act::JobEnd { job, outcome } => self.end_job(job, outcome),
             Act::JobCancel { jobs } => self.cancel_jobs(jobs),
         }
@@ -183,7 +185,7 @@
         Ok(())
     }
 
-    fn release_job(&mut self, id: &str, attempt: u32, bad: bool) -> Applied {
+    fn release_job(&mut self, id: &str, attempt: u32, bad: bool, resume: Option<&String>) -> Applied {
         let job = self.jobs.get_mut(id).ok_or_else(|| Refusal::Missing(format!("job {id}")))?;
         let JobPhase::Claimed { worker, .. } = &job.phase else {
             return Err(Refusal::State(format!("job {id} is not claimed")));
@@ -194,6 +196,9 @@
         if bad {
             job.tried.insert(worker.clone());
         }
+        if resume.is_some() {
+            job.resume = resume.cloned();
+        }
         job.phase = JobPhase::Accepted;
         Ok(())
     }
@@ -246,6 +251,7 @@
             attempt: 0,
             tried: std::collections::BTreeSet::new(),
             phase: JobPhase::Accepted,
+            resume: None,
             rerun: false,
             cancelled: false,
         }
--- a/components/fold/src/record.rs
+++ b/components/fold/src/record.rs
@@ -155,6 +155,8 @@
         attempt: u32,
         /// True if the worker, not the job, is the likely cause.
         bad: bool,
+        /// Checkpoint to go on from.
+        resume: Option<String>,
     },
     /// A job has ended.
     JobEnd {
--- a/components/fold/src/tables.rs
+++ b/components/fold/src/tables.rs
@@ -142,6 +142,8 @@
     pub tried: BTreeSet<String>,
     /// Where it stands.
     pub phase: JobPhase,
+    /// Checkpoint to go on from.
+    pub resume: Option<String>,
     /// True if it may run again after a worker was lost with it.
     pub rerun: bool,
     /// True once its caller has cancelled it.
--- a/components/standin/src/worker.rs
+++ b/components/standin/src/worker.rs
@@ -5,10 +5,12 @@
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
-use std::time::Duration;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
 
 use edge::{
-    Incarnation, LeasedTask, RUNNING_HEADER, TASK_HEADER, TaskState, Usage, VERDICT_HEADER, Verdict, wall_ms,
+    Incarnation, LeasedTask, RESUME_HEADER, RUNNING_HEADER, TASK_HEADER, TaskState, Usage, VERDICT_HEADER,
+    Verdict, wall_ms,
 };
 use parking_lot::Mutex;
 use poem::http::StatusCode;
@@ -41,6 +43,8 @@
     pub lease: Incarnation,
     /// Caller's body.
     pub body: String,
+    /// True if it goes on from a checkpoint.
+    pub resumed: bool,
     /// Start, in ms since the Unix epoch.
     pub started: u64,
     /// End, in ms since the Unix epoch; 0 while it runs.
@@ -58,7 +62,7 @@
 #[derive(Debug, Default)]
 struct Inner {
     tasks: HashMap<String, TaskState>,
-    stops: HashMap<String, Arc<Notify>>,
+    stops: HashMap<String, Arc<Stop>>,
     revoked: HashSet<Incarnation>,
     records: Vec<Record>,
     index: HashMap<String, usize>,
@@ -66,8 +70,15 @@
     mood: Mood,
 }
 
+/// Ends a running task early.
+#[derive(Debug, Default)]
+struct Stop {
+    told: Notify,
+    checkpoint: AtomicBool,
+}
+
 enum Admit {
-    Run(Arc<Notify>),
+    Run(Arc<Stop>),
     Refuse(&'static str),
 }
 
@@ -78,6 +89,8 @@
     boot: u64,
     not_after: u64,
     body: String,
+    /// Work done before the checkpoint, in ms.
+    done_ms: u64,
 }
 
 #[derive(Debug, Deserialize)]
@@ -128,7 +141,7 @@
         if inner.running >= self.slots {
             return Admit::Refuse("no slot is free");
         }
-        let stop = Arc::new(Notify::new());
+        let stop = Arc::new(Stop::default());
         inner.begin(order, Arc::clone(&stop));
         Admit::Run(stop)
     }
@@ -144,11 +157,13 @@
         inner.running
     }
 
-    async fn run(&self, order: &Order, work: &Work, stop: &Notify) -> TaskState {
+    async fn run(&self, order: &Order, work: &Work, stop: &Stop) -> TaskState {
+        let begun = Instant::now();
+        let left = work.work_ms.saturating_sub(order.done_ms);
         let failing = self.inner.lock().mood == Mood::Failing;
         let state = tokio::select! {
-            () = tokio::time::sleep(Duration::from_millis(work.work_ms)) => ended(order, work.fail || failing),
-            () = stop.notified() => TaskState::Stopped,
+            () = tokio::time::sleep(Duration::from_millis(left)) => ended(order, work.fail || failing),
+            () = stop.told.notified() => stopped(order, begun.elapsed(), stop.checkpoint.load(Ordering::SeqCst)),
         };
         self.finish(&order.id, state.clone());
         state
@@ -156,7 +171,7 @@
 }
 
 impl Inner {
-    fn begin(&mut self, order: &Order, stop: Arc<Notify>) {
+    fn begin(&mut self, order: &Order, stop: Arc<Stop>) {
         self.running += 1;
         self.tasks.insert(order.id.clone(), TaskState::Running);
         self.stops.insert(order.id.clone(), stop);
@@ -166,6 +181,7 @@
             team: order.team.clone(),
             lease: order.lease,
             body: order.body.clone(),
+            resumed: order.done_ms > 0,
             started: wall_ms(),
             ended: 0,
         });
@@ -177,6 +193,15 @@
     }
 }
 
+/// The token is the time worked so far, in ms.
+fn stopped(order: &Order, worked: Duration, checkpoint: bool) -> TaskState {
+    if !checkpoint {
+        return TaskState::Stopped;
+    }
+    let worked = u64::try_from(worked.as_millis()).unwrap_or(u64::MAX);
+    TaskState::Checkpointed { token: order.done_ms.saturating_add(worked).to_string() }
+}
+
 fn ended(order: &Order, fail: bool) -> TaskState {
     let status = if fail { StatusCode::INTERNAL_SERVER_ERROR } else { StatusCode::OK };
     TaskState::Ended { status: status.as_u16(), body: format!("done {}", order.body) }
@@ -189,6 +214,7 @@
         .at("/status", get(get_status))
         .at("/bar", post(bar_task))
         .at("/stop", post(stop_task))
+        .at("/checkpoint", post(checkpoint_task))
         .at("/revoke", post(revoke_lease))
         .at("/usage", get(get_usage))
         .at("/record", get(get_records))
@@ -241,6 +267,7 @@
         boot: number("x-boot")?,
         not_after: number("x-not-after")?,
         body,
+        done_ms: text(RESUME_HEADER).parse().unwrap_or(0),
     })
 }
 
@@ -276,11 +303,25 @@
 fn stop_task(store: Data<&Arc<Store>>, Query(query): Query<ById>) -> Json<TaskState> {
     let mut inner = store.inner.lock();
     if let Some(stop) = inner.stops.get(&query.id) {
-        stop.notify_one();
+        stop.told.notify_one();
     }
     Json(inner.bar(query.id))
 }
 
+#[handler]
+async fn checkpoint_task(store: Data<&Arc<Store>>, Query(query): Query<ById>) -> Json<TaskState> {
+    let stop = store.inner.lock().stops.get(&query.id).cloned();
+    if let Some(stop) = stop {
+        stop.checkpoint.store(true, Ordering::SeqCst);
+        stop.told.notify_one();
+        while store.inner.lock().stops.contains_key(&query.id) {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+    let inner = store.inner.lock();
+    Json(inner.tasks.get(&query.id).cloned().unwrap_or(TaskState::Unseen))
+}
+
 #[handler]
 fn revoke_lease(store: Data<&Arc<Store>>, Query(query): Query<ByLease>) -> Json<Vec<LeasedTask>> {
     let mut inner = store.inner.lock();
--- a/components/trial/src/experiments/mod.rs
+++ b/components/trial/src/experiments/mod.rs
@@ -32,6 +32,7 @@
         "recovery" => recovery::run(settings).await,
         "shares" => shares::run(settings).await,
         "slopes" => slopes::run(settings).await,
+        "slopes-largest" => slopes::run_largest(settings).await,
         "zone" => zone::run(settings).await,
         _ => return false,
     }
--- a/components/trial/src/experiments/slopes.rs
+++ b/components/trial/src/experiments/slopes.rs
@@ -27,21 +27,36 @@
     bytes_per_change: f64,
 }
 
-/// Runs all sizes: workers, teams and pools together, then entry hosts alone.
+/// One size of everything.
+#[derive(Debug, Clone, Copy)]
+struct Size {
+    entries: u8,
+    workers: u16,
+    teams: u32,
+    pools: u32,
+}
+
+const TODAY: Size = Size { entries: 4, workers: 50, teams: 6, pools: 5 };
+const MIDDLE: Size = Size { entries: 4, workers: 220, teams: 37, pools: 86 };
+const TWO_YEARS: Size = Size { entries: 4, workers: 660, teams: 110, pools: 257 };
+
+/// Runs all sizes: workers, teams and pools together, then entry hosts.
 pub async fn run(settings: &Settings) {
-    for (entries, workers, teams, pools) in [
-        (4, 50, 6, 5),
-        (4, 220, 37, 86),
-        (4, 660, 110, 257),
-        (8, 50, 6, 5),
-        (8, 660, 110, 257),
-        (16, 660, 110, 257),
-    ] {
-        measure(settings, entries, workers, teams, pools).await;
+    for size in [TODAY, MIDDLE, TWO_YEARS, Size { entries: 8, ..TODAY }] {
+        measure(settings, size).await;
+    }
+    run_largest(settings).await;
+}
+
+/// Runs the two-year size with 8 and 16 entry hosts.
+pub async fn run_largest(settings: &Settings) {
+    for entries in [8, 16] {
+        measure(settings, Size { entries, ..TWO_YEARS }).await;
     }
 }
 
-async fn measure(settings: &Settings, entries: u8, workers: u16, teams: u32, pools: u32) {
+async fn measure(settings: &Settings, size: Size) {
+    let Size { entries, workers, teams, pools } = size;
     let plan = Plan { entries, workers: 3, listed: workers, ..Plan::new(&settings.program) };
     let fleet = Fleet::start(plan).await;
     fleet.order_many(0, &(0..pools).map(|n| format!("set pool p{n} budget 1")).collect::<Vec<_>>()).await;
--- a/tests/jobs.rs
+++ b/tests/jobs.rs
@@ -10,6 +10,9 @@
 use trial::fleet::{Fleet, Plan};
 use trial::until;
 
+/// Stated bound on how long tasks may still run in a zone taken out, if they can be moved, in ms.
+const FEW_SECONDS_MS: u64 = 5000;
+
 fn plan() -> Plan {
     let extra = "timing: { fresh_ms: 800, dead_ms: 1600, beat_ms: 100, deadline_ms: 3000 },".into();
     Plan { extra, ..Plan::new(env!("CARGO_BIN_EXE_lagoonrelay").as_ref()) }
@@ -131,3 +134,33 @@
     ends_as(&fleet, 1, &id, "ended").await;
     assert_that!(starts(&fleet, "dark").await, eq(1));
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn moves_running_jobs_out_of_a_zone_that_is_taken_out() {
+    let fleet = Fleet::start(plan()).await;
+    fleet.set_up(&[("a", 1, 30)], 2).await;
+    let mut ids = Vec::new();
+    for number in 0..12 {
+        ids.push(accept(&fleet, number % 3, &format!("long{number}"), 8000).await);
+    }
+    until("all jobs run", || async { fleet.all_records().await.len() == 12 }).await;
+    fleet.order(1, "take out zone z0").await;
+    let accepted = edge::wall_ms();
+    let in_zone = |n: usize| fleet.workers[n].info.zone == "z0";
+    for id in &ids {
+        ends_as(&fleet, 0, id, "ended").await;
+    }
+    let records = fleet.all_records().await;
+    for number in 0..12 {
+        let body = format!("long{number}");
+        let fresh = records.iter().filter(|r| r.body == body && !r.resumed).count();
+        assert_that!(fresh, eq(1), "{body} begins once");
+    }
+    assert_that!(records.iter().any(|r| r.resumed), eq(true), "some went on elsewhere");
+    for number in (0..fleet.workers.len()).filter(|n| in_zone(*n)) {
+        let left = fleet.records(number).await;
+        assert_that!(trial::check::started_between(&left, accepted, u64::MAX), is_empty());
+        let late: Vec<_> = left.iter().filter(|r| r.ended > accepted + FEW_SECONDS_MS).collect();
+        assert_that!(late, is_empty(), "the zone is empty soon");
+    }
+}
