Charge and choose among active teams only

Ruled out: the host list (0.1% by its size and period) and the log's polling (the same at all sizes).

Change: loads of zero are not kept; usage is charged for teams that run, and only waiting teams are weighed. A heartbeat after a lost one says that it is whole, so that a load that went to zero meanwhile is not remembered.

--- a/components/entry/src/admit.rs
+++ b/components/entry/src/admit.rs
@@ -3,7 +3,7 @@
 //! The fair order starts the team furthest below its share, counted over the whole fleet from the peers'
 //! heartbeats. A queue is limited in length and in age; what is refused here has not run.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -17,6 +17,8 @@
 use crate::state::{State, WorkerView};
 
 const TICK: Duration = Duration::from_millis(20);
+/// Average running tasks below which usage counts as none.
+const FORGOTTEN_USAGE: f64 = 0.001;
 const USAGE_TIME: Duration = Duration::from_secs(3);
 
 /// Everything that waits on this host.
@@ -26,6 +28,13 @@
     usage: BTreeMap<String, f64>,
 }
 
+/// A team that runs tasks now.
+#[derive(Debug)]
+struct Active {
+    name: String,
+    tasks: i64,
+}
+
 /// One request or job that waits.
 #[derive(Debug)]
 struct Waiter {
@@ -101,6 +110,15 @@
         self.usage.get(team).copied().unwrap_or(0.0)
     }
 
+    #[expect(clippy::cast_precision_loss, reason = "counts of tasks are small")]
+    fn charge(&mut self, active: &[Active], part: f64) {
+        self.usage.values_mut().for_each(|usage| *usage *= 1.0 - part);
+        for team in active {
+            *self.usage.entry(team.name.clone()).or_default() += team.tasks as f64 * part;
+        }
+        self.usage.retain(|_, usage| *usage > FORGOTTEN_USAGE);
+    }
+
     fn push(&mut self, ask: &Ask, waiter: Waiter, most: usize) -> bool {
         let queue = self.pools.entry(ask.pool.clone()).or_default().entry(ask.team.clone()).or_default();
         if queue.len() >= most {
@@ -138,6 +156,21 @@
         own + self.peers.values().filter_map(|p| p.load.get(team)).map(|l| l.running).sum::<i64>()
     }
 
+    /// Teams that run tasks anywhere, as last heard.
+    fn active_teams(&self) -> Vec<Active> {
+        let own = self.purses.iter().map(|(team, purse)| (team, purse.used()));
+        let peers = self.peers.values().flat_map(|p| &p.load).map(|(team, load)| (team, load.running));
+        let running = own.chain(peers).filter(|(_, tasks)| *tasks > 0);
+        running.map(|(team, tasks)| Active { name: team.clone(), tasks }).collect()
+    }
+
+    /// Teams that wait here or elsewhere.
+    fn waiting_teams<'a>(&'a self, queues: &'a BTreeMap<String, VecDeque<Waiter>>) -> BTreeSet<&'a String> {
+        let here = queues.iter().filter(|(_, queue)| !queue.is_empty()).map(|(team, _)| team);
+        let peers = self.peers.values().flat_map(|p| &p.load);
+        here.chain(peers.filter(|(_, load)| load.waiting > 0).map(|(team, _)| team)).collect()
+    }
+
     fn waits_elsewhere(&self, team: &str) -> bool {
         self.peers.values().filter_map(|p| p.load.get(team)).any(|l| l.waiting > 0)
     }
@@ -169,7 +202,7 @@
                 oldest.min().map(|(_, team)| team.clone())
             }
             Admission::Fair => {
-                let names: Vec<&String> = self.tables.teams.keys().collect();
+                let names: Vec<&String> = self.waiting_teams(queues).into_iter().collect();
                 let claimants: Vec<Claimant> = names.iter().map(|t| self.claimant(t, ready(t))).collect();
                 match pick(&claimants) {
                     Pick::Start(index) => Some(names[index].clone()),
@@ -310,12 +343,7 @@
     let part = (now - last).as_secs_f64() / USAGE_TIME.as_secs_f64();
     let mut state = node.state.lock();
     state.queues.purge();
-    let names: Vec<String> = state.tables.teams.keys().cloned().collect();
-    for name in names {
-        #[expect(clippy::cast_precision_loss, reason = "counts of tasks are small")]
-        let running = state.running(&name) as f64;
-        let usage = state.queues.usage.entry(name).or_default();
-        *usage += (running - *usage) * part.min(1.0);
-    }
+    let active = state.active_teams();
+    state.queues.charge(&active, part.min(1.0));
     now
 }
--- a/components/entry/src/peers.rs
+++ b/components/entry/src/peers.rs
@@ -22,7 +22,7 @@
 
 use crate::node::Node;
 use crate::once::{claim_of, message_of};
-use crate::state::{State, TeamLoad};
+use crate::state::{PeerView, State, TeamLoad};
 use crate::tail;
 
 const CALL_TIME: Duration = Duration::from_millis(800);
@@ -149,6 +149,20 @@
     }
 }
 
+impl PeerView {
+    /// Takes in changed loads; teams without any are forgotten.
+    fn take_load(&mut self, changes: &[Running]) {
+        for change in changes {
+            let load = TeamLoad { running: change.tasks, waiting: change.waiting };
+            if load == TeamLoad::default() {
+                self.load.remove(&change.team);
+            } else {
+                self.load.insert(change.team.clone(), load);
+            }
+        }
+    }
+}
+
 impl State {
     /// Takes in what a peer says with a heartbeat.
     fn hear(&mut self, peer: Incarnation, beat: &Beat) {
@@ -159,9 +173,10 @@
         view.heard = Some(Instant::now());
         view.hears.clone_from(&beat.heard);
         view.leaving = beat.leaving;
-        for load in &beat.running {
-            view.load.insert(load.team.clone(), TeamLoad { running: load.tasks, waiting: load.waiting });
+        if beat.whole {
+            view.load.clear();
         }
+        view.take_load(&beat.running);
         view.needs = beat.needs.iter().map(|n| (n.team.clone(), n.units)).collect();
         if live {
             self.receive(peer, &beat.given);
@@ -206,7 +221,9 @@
 
     fn beat_for(&mut self, peer: Incarnation, heard: &[Incarnation]) -> Beat {
         let live = self.tables.members.get(&peer).is_some_and(|m| m.state == MemberState::Live);
+        let whole = self.peers.get(&peer).is_some_and(|p| p.unknown);
         Beat {
+            whole,
             incarnation: self.inc,
             applied: self.tables.next,
             given: if live { self.counters_for(peer) } else { Vec::new() },
@@ -221,12 +238,14 @@
     /// Loads that differ from what the peer was sent last.
     fn load_changes(&mut self, peer: Incarnation) -> Vec<Running> {
         let mut changes = Vec::new();
-        let Some(view) = self.peers.get_mut(&peer) else {
-            return changes;
-        };
+        let Some(view) = self.peers.get_mut(&peer) else { return changes };
+        if std::mem::take(&mut view.unknown) {
+            view.sent.clear();
+        }
         for (team, purse) in &self.purses {
             let load = TeamLoad { running: purse.used(), waiting: self.queues.waiting(team) };
-            if view.sent.insert(team.clone(), load) != Some(load) {
+            if view.sent.get(team).copied().unwrap_or_default() != load {
+                view.sent.insert(team.clone(), load);
                 changes.push(Running { team: team.clone(), tasks: load.running, waiting: load.waiting });
             }
         }
@@ -310,7 +329,7 @@
     let stream = connect_from(node.settings.peer.ip(), addr).await?;
     let link = Link::dial(stream, &node.secret, node.inc).await.ok()?;
     if let Some(view) = node.state.lock().peers.get_mut(&peer) {
-        view.sent.clear();
+        view.unknown = true;
     }
     // Another incarnation at the address of this one is another member.
     (link.peer == peer).then_some(link)
@@ -384,7 +403,7 @@
     let asked = Instant::now();
     let Some(Body::Beat(reply)) = node.ask_peer(peer, Body::Beat(beat)).await else {
         if let Some(view) = node.state.lock().peers.get_mut(&peer) {
-            view.sent.clear();
+            view.unknown = true;
         }
         return;
     };
--- a/components/entry/src/state.rs
+++ b/components/entry/src/state.rs
@@ -67,6 +67,8 @@
     pub needs: BTreeMap<String, i64>,
     /// Last values sent to it, to send only changes.
     pub sent: BTreeMap<String, TeamLoad>,
+    /// True while it may not have what was sent.
+    pub unknown: bool,
 }
 
 impl PeerView {
@@ -79,6 +81,7 @@
             load: BTreeMap::new(),
             needs: BTreeMap::new(),
             sent: BTreeMap::new(),
+            unknown: true,
         }
     }
 }
--- a/components/wire/src/message.rs
+++ b/components/wire/src/message.rs
@@ -114,6 +114,9 @@
     /// Incarnations that the sender has heard from lately.
     #[prost(uint64, repeated, tag = "8")]
     pub heard: Vec<u64>,
+    /// True if loads that are not in this beat are none, not unchanged.
+    #[prost(bool, tag = "9")]
+    pub whole: bool,
 }
 
 /// Cumulative units of one team given to one peer.
