--- a/components/entry/src/peers.rs
+++ b/components/entry/src/peers.rs
@@ -16,7 +16,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 use wire::{
-    Beat, Body, ClaimReply, Claims, CopyClaims, Envelope, FetchEntries, Given, Link, LogEntries, Need,
+    Beat, Body, ClaimReply, Claims, CopyClaims, Envelope, FetchEntries, Given, Heard, Link, LogEntries, Need,
     RawEntry, Running,
 };
 
@@ -150,6 +150,16 @@
 }
 
 impl PeerView {
+    /// Forgets what was sent if the peer may not have it; yields whether that is so.
+    fn take_unknown(&mut self) -> bool {
+        let unknown = std::mem::take(&mut self.unknown);
+        if unknown {
+            self.sent.clear();
+            self.sent_heard.clear();
+        }
+        unknown
+    }
+
     /// Takes in changed loads; teams without any are forgotten.
     fn take_load(&mut self, changes: &[Running]) {
         for change in changes {
@@ -171,7 +181,9 @@
             return;
         };
         view.heard = Some(Instant::now());
-        view.hears.clone_from(&beat.heard);
+        if let Some(heard) = &beat.heard {
+            view.hears.clone_from(&heard.incarnations);
+        }
         view.leaving = beat.leaving;
         if beat.whole {
             view.load.clear();
@@ -221,7 +233,7 @@
 
     fn beat_for(&mut self, peer: Incarnation, heard: &[Incarnation]) -> Beat {
         let live = self.tables.members.get(&peer).is_some_and(|m| m.state == MemberState::Live);
-        let whole = self.peers.get(&peer).is_some_and(|p| p.unknown);
+        let whole = self.peers.get_mut(&peer).is_some_and(PeerView::take_unknown);
         Beat {
             whole,
             incarnation: self.inc,
@@ -231,17 +243,24 @@
             running: self.load_changes(peer),
             leaving: self.leaving,
             synced: self.synced,
-            heard: heard.to_vec(),
+            heard: self.heard_change(peer, heard),
         }
     }
 
+    /// Members heard lately, if they differ from what the peer was sent last.
+    fn heard_change(&mut self, peer: Incarnation, heard: &[Incarnation]) -> Option<Heard> {
+        let view = self.peers.get_mut(&peer)?;
+        if view.sent_heard == heard {
+            return None;
+        }
+        heard.clone_into(&mut view.sent_heard);
+        Some(Heard { incarnations: heard.to_vec() })
+    }
+
     /// Loads that differ from what the peer was sent last.
     fn load_changes(&mut self, peer: Incarnation) -> Vec<Running> {
         let mut changes = Vec::new();
         let Some(view) = self.peers.get_mut(&peer) else { return changes };
-        if std::mem::take(&mut view.unknown) {
-            view.sent.clear();
-        }
         for (team, purse) in &self.purses {
             let load = TeamLoad { running: purse.used(), waiting: self.queues.waiting(team) };
             if view.sent.get(team).copied().unwrap_or_default() != load {
--- a/components/entry/src/state.rs
+++ b/components/entry/src/state.rs
@@ -67,6 +67,8 @@
     pub needs: BTreeMap<String, i64>,
     /// Last values sent to it, to send only changes.
     pub sent: BTreeMap<String, TeamLoad>,
+    /// Members heard that were sent to it last.
+    pub sent_heard: Vec<Incarnation>,
     /// True while it may not have what was sent.
     pub unknown: bool,
 }
@@ -81,6 +83,7 @@
             load: BTreeMap::new(),
             needs: BTreeMap::new(),
             sent: BTreeMap::new(),
+            sent_heard: Vec::new(),
             unknown: true,
         }
     }
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -8,6 +8,6 @@
 
 pub use link::{Link, LinkError, MAX_FRAME_BYTES, VERSION};
 pub use message::{
-    Beat, Body, ClaimMessage, ClaimReply, Claims, CopyClaims, Envelope, FetchEntries, Given, LogEntries,
-    Need, RawEntry, Running,
+    Beat, Body, ClaimMessage, ClaimReply, Claims, CopyClaims, Envelope, FetchEntries, Given, Heard,
+    LogEntries, Need, RawEntry, Running,
 };
--- a/components/wire/src/message.rs
+++ b/components/wire/src/message.rs
@@ -111,14 +111,22 @@
     /// True once the sender has copied the claims of a majority.
     #[prost(bool, tag = "7")]
     pub synced: bool,
-    /// Incarnations that the sender has heard from lately.
-    #[prost(uint64, repeated, tag = "8")]
-    pub heard: Vec<u64>,
+    /// Whom the sender has heard from lately; none if that has not changed.
+    #[prost(message, optional, tag = "8")]
+    pub heard: Option<Heard>,
     /// True if loads that are not in this beat are none, not unchanged.
     #[prost(bool, tag = "9")]
     pub whole: bool,
 }
 
+/// Members that a host has heard from lately.
+#[derive(Clone, PartialEq, Message)]
+pub struct Heard {
+    /// Incarnations in order.
+    #[prost(uint64, repeated, tag = "1")]
+    pub incarnations: Vec<u64>,
+}
+
 /// Cumulative units of one team given to one peer.
 #[derive(Clone, PartialEq, Message)]
 pub struct Given {
