Maintenance plans; checkpoints behind a trimmed horizon; peers split by job

Cause: operators drained and rebooted host by host.

Change: a plan reboots every worker of a place within the budgets: drains as many as the fold allows, the pool that would end last first, waits until no host can start work there and the worker is idle (jobs are checkpointed away), reboots, verifies the new boot, brings back. Every step is a record, so any host goes on after any step; pause, resume and abort. Heartbeats and the copying of claims have files of their own.

Figures: finishes_a_plan_within_the_budget_when_its_host_is_killed: the host that took the command is killed after the first drain; at most 2 of 6 out (the budget), all back, no request cut.

--- a/components/config/tests/settings.rs
+++ b/components/config/tests/settings.rs
@@ -65,3 +65,12 @@
         assert_that!(faults[0].to_string(), not(eq("")));
     }
 }
+
+#[gtest]
+fn accepts_the_examples() {
+    for text in
+        [include_str!("../../../examples/tokachi.json"), include_str!("../../../examples/rounds.json")]
+    {
+        expect_that!(parse(text).map(|s| s.zone), ok(eq("z1")));
+    }
+}
--- a/components/edge/src/worker.rs
+++ b/components/edge/src/worker.rs
@@ -128,6 +128,9 @@
     /// Refuses all later starts under a lease and lists what still runs under it.
     fn revoke<'a>(&'a self, addr: &'a str, lease: Incarnation) -> Call<'a, Vec<LeasedTask>>;
 
+    /// Reboots the worker; it comes back with a new boot.
+    fn reboot<'a>(&'a self, addr: &'a str) -> Call<'a, ()>;
+
     /// Asks for a usage report.
     fn usage<'a>(&'a self, addr: &'a str) -> Call<'a, Usage>;
 }
@@ -195,6 +198,10 @@
         })
     }
 
+    fn reboot<'a>(&'a self, addr: &'a str) -> Call<'a, ()> {
+        Box::pin(async move { self.ask(Fetch::post(addr, "/reboot", Bytes::new(), self.timeout)).await })
+    }
+
     fn usage<'a>(&'a self, addr: &'a str) -> Call<'a, Usage> {
         Box::pin(async move { self.ask(Fetch::get(addr, "/usage", self.timeout)).await })
     }
--- /dev/null
+++ b/components/entry/src/claim_sync.rs
@@ -0,0 +1,115 @@
+//! Copying stored claims to a host that has just joined.
+//!
+//! A new member may vote on claims only after it has copied those of so many members that it knows every claim
+//! that a majority holds.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use fold::Incarnation;
+use wire::{Body, Claims, CopyClaims};
+
+use crate::node::Node;
+use crate::once::{claim_of, message_of};
+use crate::state::State;
+
+const CLAIMS_PER_PAGE: usize = 2000;
+
+/// Copies the claims of a majority, once this host's join is in force; then it may vote on claims.
+pub async fn run(node: Arc<Node>) {
+    let ticks = node.timer.every(Duration::from_millis(node.settings.timing.beat_ms));
+    let mut sync = Sync::default();
+    while !sync.is_over(&node) {
+        for peer in sync.peers_to_copy(&node) {
+            if let Some(copied) = copy_claims(&node, peer).await {
+                sync.copied.insert(peer, copied);
+            }
+        }
+        ticks.tick().await;
+    }
+}
+
+/// Progress of copying claims.
+#[derive(Debug, Default)]
+struct Sync {
+    majority_since: Option<Instant>,
+    copied: BTreeMap<Incarnation, Copied>,
+}
+
+/// What a member had to copy.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Copied {
+    /// All the claims it has voted on.
+    Claims,
+    /// Nothing; it has never voted.
+    Nothing,
+}
+
+impl Sync {
+    /// Members not yet copied, once no member can count without this host.
+    fn peers_to_copy(&mut self, node: &Node) -> Vec<Incarnation> {
+        let state = node.state.lock();
+        let Some(joined) = state.tables.members.get(&node.inc).map(|m| m.joined) else {
+            return Vec::new();
+        };
+        let peers: Vec<Incarnation> = others(&state);
+        let applied = |p: &&Incarnation| state.fresh.applied_by(**p).is_some_and(|a| a > joined);
+        let count = peers.iter().filter(applied).count();
+        if count < state.voters() / 2 {
+            return Vec::new();
+        }
+        let since = *self.majority_since.get_or_insert_with(Instant::now);
+        if count < peers.len() && since.elapsed() < node.fresh() {
+            return Vec::new();
+        }
+        peers.into_iter().filter(|p| self.copied.get(p) != Some(&Copied::Claims)).collect()
+    }
+
+    /// True once every majority shares a copied member, or all members are copied.
+    fn is_over(&self, node: &Node) -> bool {
+        let mut state = node.state.lock();
+        let peers = others(&state);
+        let voted = peers.iter().filter(|p| self.copied.get(p) == Some(&Copied::Claims)).count();
+        let all = peers.iter().all(|p| self.copied.contains_key(p));
+        let members = state.voters();
+        if state.is_live() && (all || voted >= members - members / 2) {
+            state.synced = true;
+        }
+        state.synced
+    }
+}
+
+fn others(state: &State) -> Vec<Incarnation> {
+    state.tables.voters().map(|(inc, _)| inc).filter(|inc| *inc != state.inc).collect()
+}
+
+async fn copy_claims(node: &Node, peer: Incarnation) -> Option<Copied> {
+    let mut skip = 0;
+    loop {
+        let copy = Body::CopyClaims(CopyClaims { skip });
+        let Some(Body::Claims(page)) = node.ask_peer(peer, copy).await else {
+            return None;
+        };
+        skip += page.claims.len() as u64;
+        let mut state = node.state.lock();
+        page.claims.iter().for_each(|c| state.claims.copy(&claim_of(c)));
+        if page.last {
+            return Some(if page.synced { Copied::Claims } else { Copied::Nothing });
+        }
+    }
+}
+
+impl Node {
+    /// Claims stored here, from a position on.
+    pub(crate) fn answer_copy(&self, copy: &CopyClaims) -> Claims {
+        let state = self.state.lock();
+        if !state.synced {
+            return Claims { last: true, ..Claims::default() };
+        }
+        let skip = usize::try_from(copy.skip).unwrap_or(usize::MAX);
+        let claims: Vec<_> = state.claims.iter().skip(skip).take(CLAIMS_PER_PAGE).map(message_of).collect();
+        let last = claims.len() < CLAIMS_PER_PAGE;
+        Claims { claims, last, synced: true }
+    }
+}
--- a/components/entry/src/node.rs
+++ b/components/entry/src/node.rs
@@ -18,7 +18,9 @@
 use crate::peers::Links;
 use crate::state::State;
 use crate::timer::Timer;
-use crate::{admin, admit, drain, jobs, members, peers, serve, tail, units, workers};
+use crate::{
+    admin, admit, beat, claim_sync, drain, jobs, members, peers, plans, serve, tail, units, workers,
+};
 
 const JOIN_WAIT: Duration = Duration::from_secs(3600);
 const MEMBER_TICK: Duration = Duration::from_millis(50);
@@ -215,14 +217,15 @@
 }
 
 fn spawn_systems(node: &Arc<Node>, tasks: &mut tokio::task::JoinSet<()>) {
-    tasks.spawn(peers::beat(Arc::clone(node)));
-    tasks.spawn(peers::sync_claims(Arc::clone(node)));
+    tasks.spawn(beat::run(Arc::clone(node)));
+    tasks.spawn(claim_sync::run(Arc::clone(node)));
     tasks.spawn(workers::run(Arc::clone(node)));
     tasks.spawn(admit::run(Arc::clone(node)));
     tasks.spawn(jobs::run(Arc::clone(node)));
     tasks.spawn(members::run(Arc::clone(node)));
     tasks.spawn(members::run_checkpoints(Arc::clone(node)));
     tasks.spawn(units::run(Arc::clone(node)));
+    tasks.spawn(plans::run(Arc::clone(node)));
 }
 
 async fn fenced(node: &Node) {
--- a/components/entry/src/report.rs
+++ b/components/entry/src/report.rs
@@ -28,6 +28,7 @@
             Query::Queues => state.queue_rows(),
             Query::Keys => state.key_rows(),
             Query::Places => state.place_rows(),
+            Query::Plans => state.plan_rows(),
             Query::Jobs => state.job_rows(),
             Query::Members => state.member_rows(),
             Query::Status => vec![self.status_row(&state)],
@@ -107,6 +108,18 @@
         outages.chain(drains).collect()
     }
 
+    fn plan_rows(&self) -> Vec<Value> {
+        let row = |(name, plan): (&String, &fold::Plan)| {
+            let all = self.tables.hosts_at(&plan.place).len();
+            json!({
+                "plan": name, "place": plan.place.to_string(), "state": plan.state, "hosts": all,
+                "done": plan.done.len(), "draining": plan.drained, "rebooting": plan.rebooting.keys().collect::<Vec<_>>(),
+                "version": self.tables.version(&format!("plan {name}")),
+            })
+        };
+        self.tables.plans.iter().map(row).collect()
+    }
+
     fn job_rows(&self) -> Vec<Value> {
         let row = |(id, job): (&String, &fold::Job)| {
             let worker = match &job.phase {
--- a/components/entry/src/tail.rs
+++ b/components/entry/src/tail.rs
@@ -44,12 +44,15 @@
             }
             from = node.state.lock().tables.next;
         } else {
-            from = scan(node, &mut parts, page).unwrap_or(from);
+            match scan(node, &mut parts, page) {
+                Some(next) => from = next,
+                None => tokio::time::sleep(Duration::from_millis(node.settings.timing.poll_ms)).await,
+            }
         }
     }
 }
 
-/// Looks for a complete checkpoint; yields where to read on.
+/// Looks for a complete checkpoint; yields where to read on, unless the tail is reached without one.
 fn scan(node: &Node, parts: &mut Assembler, page: LogPage) -> Option<u64> {
     let last = page.entries.last()?.offset;
     for raw in page.entries {
--- a/components/fold/src/apply.rs
+++ b/components/fold/src/apply.rs
@@ -56,6 +56,9 @@
             Act::Take(units) => self.take(by, units),
             Act::GiveBack(units) => self.give_back(by, units),
             Act::Health { host, down } => self.set_health(host, *down),
+            Act::PlanDrain { plan, host } => self.plan_drain(plan, host),
+            Act::PlanReboot { plan, host, boot } => self.plan_reboot(plan, host, *boot),
+            Act::PlanDone { plan, host } => self.plan_done(plan, host),
             Act::JobAccept { job, team, queue, path, body, rerun } => {
                 self.accept_job(job, Job { rerun: *rerun, ..Job::new(team, queue, path, body) })
             }
--- a/components/fold/src/change.rs
+++ b/components/fold/src/change.rs
@@ -48,6 +48,8 @@
             Change::Withdraw { name } => self.need_key(name),
             Change::Drain(place) => self.check_drain(place),
             Change::BringBack(place) => self.check_return(place),
+            Change::Plan { name, place } => self.check_plan(name, place),
+            Change::SetPlan { name, .. } => self.check_plan_state(name),
         }
     }
 
@@ -80,7 +82,7 @@
     }
 
     /// A drain may not bring any pool over its budget.
-    fn check_drain(&self, place: &Place) -> Applied {
+    pub(crate) fn check_drain(&self, place: &Place) -> Applied {
         let mut after = self.clone_service_state();
         after.drains.insert(place.clone());
         for name in self.pools_at(place) {
@@ -144,6 +146,8 @@
                 self.outages.remove(place);
                 self.drains.remove(place);
             }
+            Change::Plan { name, place } => self.start_plan(name, place),
+            Change::SetPlan { name, state } => self.set_plan(name, *state),
         }
     }
 
--- a/components/fold/src/lib.rs
+++ b/components/fold/src/lib.rs
@@ -7,13 +7,14 @@
 mod apply;
 mod change;
 mod checkpoint;
+mod plan;
 mod record;
 mod tables;
 
 pub use checkpoint::{Assembler, split};
-pub use record::{Act, Change, Entry, JobOutcome, KeptTask, Place, TeamUnits};
+pub use record::{Act, Change, Entry, JobOutcome, KeptTask, Place, PlanState, TeamUnits};
 pub use tables::{
-    Host, Job, JobPhase, Key, Member, MemberState, Outcome, Pool, Queue, Refusal, Tables, Team,
+    Host, Job, JobPhase, Key, Member, MemberState, Outcome, Plan, Pool, Queue, Refusal, Tables, Team,
 };
 
 /// Identifies one run of one entry host.
--- /dev/null
+++ b/components/fold/src/plan.rs
@@ -0,0 +1,129 @@
+//! Applies the steps of maintenance plans.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::apply::Applied;
+use crate::record::{Place, PlanState};
+use crate::tables::{Plan, Refusal, Tables, places_of};
+
+impl Tables {
+    /// Workers of a place, by name.
+    #[must_use]
+    pub fn hosts_at(&self, place: &Place) -> BTreeSet<String> {
+        let inside = self.hosts.iter().filter(|(name, host)| places_of(name, host).contains(place));
+        inside.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// The worker that a running plan can drain next within the budgets.
+    ///
+    /// Pools with the most workers left for each that may be out come first, since they end last.
+    #[must_use]
+    pub fn next_drain(&self, plan: &Plan) -> Option<String> {
+        if plan.state != PlanState::Running {
+            return None;
+        }
+        let left: Vec<String> =
+            self.hosts_at(&plan.place).into_iter().filter(|h| !plan.has_begun(h)).collect();
+        let mut counts: BTreeMap<&str, u64> = BTreeMap::new();
+        for host in &left {
+            *counts.entry(&self.hosts[host].pool).or_default() += 1;
+        }
+        let waves = |host: &String| {
+            let pool = self.hosts[host].pool.as_str();
+            let budget = self.pools.get(pool).map_or(1, |p| u64::from(p.budget.max(1)));
+            counts[pool].div_ceil(budget)
+        };
+        let allowed = left.iter().filter(|host| self.check_drain(&Place::Host((*host).clone())).is_ok());
+        allowed.max_by_key(|host| waves(host)).cloned()
+    }
+
+    pub(crate) fn check_plan(&self, name: &str, place: &Place) -> Applied {
+        if self.plans.get(name).is_some_and(|p| p.state == PlanState::Running) {
+            return Err(Refusal::State(format!("plan {name} is running")));
+        }
+        if self.hosts_at(place).is_empty() {
+            return Err(Refusal::Missing(format!("host at {place}")));
+        }
+        Ok(())
+    }
+
+    pub(crate) fn check_plan_state(&self, name: &str) -> Applied {
+        match self.plans.get(name) {
+            None => Err(Refusal::Missing(format!("plan {name}"))),
+            Some(plan) if matches!(plan.state, PlanState::Running | PlanState::Paused) => Ok(()),
+            Some(plan) => Err(Refusal::State(format!("plan {name} is {:?}", plan.state))),
+        }
+    }
+
+    pub(crate) fn start_plan(&mut self, name: &str, place: &Place) {
+        let plan = Plan {
+            place: place.clone(),
+            state: PlanState::Running,
+            drained: BTreeSet::new(),
+            rebooting: BTreeMap::new(),
+            done: BTreeSet::new(),
+        };
+        self.plans.insert(name.to_owned(), plan);
+    }
+
+    /// An aborted plan brings its drained workers back; those being rebooted come back when they are up.
+    pub(crate) fn set_plan(&mut self, name: &str, state: PlanState) {
+        let Some(plan) = self.plans.get_mut(name) else { return };
+        plan.state = state;
+        if state == PlanState::Aborted {
+            for host in std::mem::take(&mut plan.drained) {
+                self.drains.remove(&Place::Host(host));
+            }
+        }
+    }
+
+    pub(crate) fn plan_drain(&mut self, name: &str, host: &str) -> Applied {
+        let place = Place::Host(host.to_owned());
+        let plan = self.plans.get(name).ok_or_else(|| Refusal::Missing(format!("plan {name}")))?;
+        if plan.state != PlanState::Running || plan.has_begun(host) || self.drains.contains(&place) {
+            return Err(Refusal::State(format!("plan {name} does not drain {host} now")));
+        }
+        self.check_drain(&place)?;
+        self.drains.insert(place);
+        if let Some(plan) = self.plans.get_mut(name) {
+            plan.drained.insert(host.to_owned());
+        }
+        Ok(())
+    }
+
+    pub(crate) fn plan_reboot(&mut self, name: &str, host: &str, boot: u64) -> Applied {
+        let plan = self.plans.get_mut(name).ok_or_else(|| Refusal::Missing(format!("plan {name}")))?;
+        if !plan.drained.remove(host) {
+            return Err(Refusal::State(format!("plan {name} has not drained {host}")));
+        }
+        plan.rebooting.insert(host.to_owned(), boot);
+        Ok(())
+    }
+
+    pub(crate) fn plan_done(&mut self, name: &str, host: &str) -> Applied {
+        let plan = self.plans.get_mut(name).ok_or_else(|| Refusal::Missing(format!("plan {name}")))?;
+        if plan.rebooting.remove(host).is_none() {
+            return Err(Refusal::State(format!("plan {name} does not reboot {host}")));
+        }
+        plan.done.insert(host.to_owned());
+        self.drains.remove(&Place::Host(host.to_owned()));
+        self.end_plan(name);
+        Ok(())
+    }
+
+    fn end_plan(&mut self, name: &str) {
+        let Some(plan) = self.plans.get(name) else { return };
+        let all = self.hosts_at(&plan.place).iter().all(|host| plan.done.contains(host));
+        if let Some(plan) = self.plans.get_mut(name).filter(|p| all && p.state != PlanState::Aborted) {
+            plan.state = PlanState::Done;
+        }
+    }
+}
+
+impl Plan {
+    /// True once the plan has drained a worker.
+    #[must_use]
+    pub fn has_begun(&self, host: &str) -> bool {
+        self.drained.contains(host) || self.rebooting.contains_key(host) || self.done.contains(host)
+    }
+}
--- a/components/fold/src/record.rs
+++ b/components/fold/src/record.rs
@@ -172,6 +172,29 @@
         /// True if it is down.
         down: bool,
     },
+    /// A plan drains a worker, within the budgets.
+    PlanDrain {
+        /// Plan name.
+        plan: String,
+        /// Worker name.
+        host: String,
+    },
+    /// A plan is about to reboot a worker that it has drained.
+    PlanReboot {
+        /// Plan name.
+        plan: String,
+        /// Worker name.
+        host: String,
+        /// Worker's boot before.
+        boot: u64,
+    },
+    /// A worker is back with a new boot.
+    PlanDone {
+        /// Plan name.
+        plan: String,
+        /// Worker name.
+        host: String,
+    },
     /// A caller cancels jobs.
     JobCancel {
         /// Job ids.
@@ -262,6 +285,33 @@
     Drain(Place),
     /// Brings a place back from an outage or a drain.
     BringBack(Place),
+    /// Starts a plan that reboots every worker of a place, within the budgets.
+    Plan {
+        /// Plan name.
+        name: String,
+        /// Which workers.
+        place: Place,
+    },
+    /// Pauses, resumes or aborts a plan.
+    SetPlan {
+        /// Plan name.
+        name: String,
+        /// State that it shall have.
+        state: PlanState,
+    },
+}
+
+/// Where a maintenance plan stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PlanState {
+    /// Drains and reboots workers.
+    Running,
+    /// Drains no more workers; those that are drained go on.
+    Paused,
+    /// Ended early; drained workers are back.
+    Aborted,
+    /// Every worker has been rebooted.
+    Done,
 }
 
 impl Change {
@@ -274,6 +324,7 @@
             Self::Team { name, .. } => format!("team {name}"),
             Self::Queue { name, .. } => format!("queue {name}"),
             Self::Grant { name, .. } | Self::Withdraw { name } => format!("key {name}"),
+            Self::Plan { name, .. } | Self::SetPlan { name, .. } => format!("plan {name}"),
             Self::TakeOut(place) | Self::Drain(place) | Self::BringBack(place) => place.to_string(),
         }
     }
--- a/components/fold/src/tables.rs
+++ b/components/fold/src/tables.rs
@@ -5,7 +5,7 @@
 use escrow::Ledger;
 use serde::{Deserialize, Serialize};
 
-use crate::{Incarnation, JobOutcome, KeptTask, Place};
+use crate::{Incarnation, JobOutcome, KeptTask, Place, PlanState};
 
 /// Everything that the log says, up to one offset.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -30,6 +30,8 @@
     pub outages: BTreeSet<Place>,
     /// Places being drained.
     pub drains: BTreeSet<Place>,
+    /// Maintenance plans by name.
+    pub plans: BTreeMap<String, Plan>,
     /// Jobs by id.
     pub jobs: BTreeMap<String, Job>,
     /// Tasks of reclaimed incarnations that still hold a unit, by id.
@@ -125,6 +127,21 @@
     pub withdrawn: bool,
 }
 
+/// A maintenance plan.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Plan {
+    /// Which workers.
+    pub place: Place,
+    /// Where it stands.
+    pub state: PlanState,
+    /// Workers that it has drained and not yet rebooted.
+    pub drained: BTreeSet<String>,
+    /// Workers being rebooted, with the boot before.
+    pub rebooting: BTreeMap<String, u64>,
+    /// Workers that are back.
+    pub done: BTreeSet<String>,
+}
+
 /// A long-running job.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Job {
--- a/components/lang/src/parse.rs
+++ b/components/lang/src/parse.rs
@@ -1,6 +1,6 @@
 //! Reads a line.
 
-use fold::{Change, Place};
+use fold::{Change, Place, PlanState};
 use winnow::Parser;
 use winnow::ascii::multispace0;
 use winnow::combinator::{preceded, repeat};
@@ -8,6 +8,8 @@
 
 use crate::statement::{Command, Query, Statement, Wanted};
 
+const VERBS: &str =
+    "show, set, assign, grant, withdraw, take out, drain, bring back, plan, pause, resume or abort";
 const MAX_LINE_BYTES: usize = 4096;
 
 /// What is wrong with a line.
@@ -107,7 +109,7 @@
 }
 
 fn query(words: &mut Words<'_>) -> Result<Query, Fault> {
-    const NAMES: &str = "pools, hosts, teams, queues, keys, places, jobs, members or status";
+    const NAMES: &str = "pools, hosts, teams, queues, keys, places, plans, jobs, members or status";
     Ok(match words.next(NAMES)? {
         "pools" => Query::Pools,
         "hosts" => Query::Hosts,
@@ -115,6 +117,7 @@
         "queues" => Query::Queues,
         "keys" => Query::Keys,
         "places" => Query::Places,
+        "plans" => Query::Plans,
         "jobs" => Query::Jobs,
         "members" => Query::Members,
         "status" => Query::Status,
@@ -135,15 +138,21 @@
             words.expect("out")?;
             Wanted::Change(Change::TakeOut(place(words)?))
         }
+        "plan" => {
+            let name = words.name("a plan name")?;
+            words.expect("reboot")?;
+            Wanted::Change(Change::Plan { name, place: place(words)? })
+        }
+        "pause" => set_plan(words, PlanState::Paused)?,
+        "resume" => set_plan(words, PlanState::Running)?,
+        "abort" => set_plan(words, PlanState::Aborted)?,
         "drain" => Wanted::Change(Change::Drain(place(words)?)),
         "bring" => {
             words.expect("back")?;
             Wanted::Change(Change::BringBack(place(words)?))
         }
         _ => {
-            return Err(
-                words.fault_before("show, set, assign, grant, withdraw, take out, drain or bring back")
-            );
+            return Err(words.fault_before(VERBS));
         }
     };
     conditions(wanted, words)
@@ -226,6 +235,11 @@
     Ok(Wanted::Grant { name, secret, team, operator })
 }
 
+fn set_plan(words: &mut Words<'_>, state: PlanState) -> Result<Wanted, Fault> {
+    words.expect("plan")?;
+    Ok(Wanted::Change(Change::SetPlan { name: words.name("a plan name")?, state }))
+}
+
 fn place(words: &mut Words<'_>) -> Result<Place, Fault> {
     match words.next("host, rack or zone")? {
         "host" => words.name("a host name").map(Place::Host),
--- a/components/lang/src/statement.rs
+++ b/components/lang/src/statement.rs
@@ -26,6 +26,8 @@
     Keys,
     /// Places out or draining.
     Places,
+    /// Maintenance plans with progress.
+    Plans,
     /// Jobs with phase.
     Jobs,
     /// Entry hosts.
--- a/components/lang/tests/lines.rs
+++ b/components/lang/tests/lines.rs
@@ -30,6 +30,14 @@
     );
 }
 
+#[gtest]
+fn can_read_plans() {
+    let plan = Change::Plan { name: "p".into(), place: Place::Rack("r".into()) };
+    expect_eq!(parse("plan p reboot rack r").unwrap(), Statement::Command(command(Wanted::Change(plan))));
+    let pause = Change::SetPlan { name: "p".into(), state: fold::PlanState::Paused };
+    expect_eq!(parse("pause plan p").unwrap(), Statement::Command(command(Wanted::Change(pause))));
+}
+
 #[gtest]
 fn errors_on_the_word_that_is_wrong() {
     let fault = parse("take out zone z/1").unwrap_err();
--- a/components/policy/src/share.rs
+++ b/components/policy/src/share.rs
@@ -23,7 +23,7 @@
 /// Chooses the team that is furthest below its share; yields its index.
 #[must_use]
 pub fn pick(teams: &[Claimant]) -> Option<usize> {
-    let levels = teams.iter().map(|team| team.level()).enumerate();
+    let levels = teams.iter().map(Claimant::level).enumerate();
     levels.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(index, _)| index)
 }
 
--- a/components/standin/src/worker.rs
+++ b/components/standin/src/worker.rs
@@ -5,7 +5,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use edge::{
@@ -54,7 +54,7 @@
 /// Shared state of one worker.
 #[derive(Debug)]
 pub struct Store {
-    boot: u64,
+    boot: AtomicU64,
     slots: u32,
     inner: Mutex<Inner>,
 }
@@ -115,7 +115,7 @@
     /// A worker with a number of slots.
     #[must_use]
     pub fn new(slots: u32) -> Self {
-        Self { boot: wall_ms(), slots, inner: Mutex::default() }
+        Self { boot: AtomicU64::new(wall_ms()), slots, inner: Mutex::default() }
     }
 
     /// Everything it has started.
@@ -124,6 +124,19 @@
         self.inner.lock().records.clone()
     }
 
+    fn boot(&self) -> u64 {
+        self.boot.load(Ordering::SeqCst)
+    }
+
+    /// Stops everything and forgets it; only the records stay.
+    fn reboot(&self) {
+        let mut inner = self.inner.lock();
+        inner.stops.values().for_each(|stop| stop.told.notify_one());
+        inner.tasks.clear();
+        inner.revoked.clear();
+        self.boot.fetch_add(1, Ordering::SeqCst);
+    }
+
     fn admit(&self, order: &Order) -> Admit {
         let mut inner = self.inner.lock();
         if inner.tasks.contains_key(&order.id) {
@@ -132,7 +145,7 @@
         if inner.revoked.contains(&order.lease) {
             return Admit::Refuse("lease is revoked");
         }
-        if order.boot != self.boot {
+        if order.boot != self.boot() {
             return Admit::Refuse("worker has restarted");
         }
         if wall_ms() > order.not_after {
@@ -216,6 +229,7 @@
         .at("/stop", post(stop_task))
         .at("/checkpoint", post(checkpoint_task))
         .at("/revoke", post(revoke_lease))
+        .at("/reboot", post(reboot_worker))
         .at("/usage", get(get_usage))
         .at("/record", get(get_records))
         .at("/mood", post(set_mood))
@@ -330,10 +344,16 @@
     Json(running.map(|r| LeasedTask { id: r.id.clone(), team: r.team.clone() }).collect())
 }
 
+#[handler]
+fn reboot_worker(store: Data<&Arc<Store>>) -> Json<()> {
+    store.reboot();
+    Json(())
+}
+
 #[handler]
 fn get_usage(store: Data<&Arc<Store>>) -> Json<Usage> {
     let running = store.inner.lock().running;
-    Json(Usage { boot: store.boot, running, slots: store.slots })
+    Json(Usage { boot: store.boot(), running, slots: store.slots })
 }
 
 #[handler]
--- a/components/trial/src/fleet.rs
+++ b/components/trial/src/fleet.rs
@@ -434,6 +434,18 @@
         assert!(done.status.is_success(), "misbehaviour is not taken: {}", done.status);
     }
 
+    /// Makes the log forget everything before an offset.
+    ///
+    /// # Panics
+    /// When the stand-in does not take it.
+    pub async fn trim(&self, horizon: u64) {
+        let addr = self.log_addr().to_string();
+        let path = format!("/trim?horizon={horizon}");
+        let done =
+            self.http.fetch(Fetch::post(&addr, &path, Bytes::new(), CALL_TIME)).await.expect("log stand-in");
+        assert!(done.status.is_success(), "trim is not taken: {}", done.status);
+    }
+
     /// All records on the log.
     ///
     /// # Panics
--- a/tests/maintenance.rs
+++ b/tests/maintenance.rs
@@ -105,3 +105,53 @@
     assert_that!(failed, is_empty());
     assert_that!(check::answers(&told, &fleet.all_records().await), is_empty());
 }
+
+async fn plan_row(fleet: &Fleet, number: usize) -> Option<serde_json::Value> {
+    fleet.query(number, "show plans").await.ok()?.into_iter().next()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn finishes_a_plan_within_the_budget_when_its_host_is_killed() {
+    let mut fleet = Fleet::start(Plan { workers: 6, ..plan() }).await;
+    fleet.set_up(&[("a", 1, 30)], 2).await;
+    let addrs: Vec<String> = (0..3).map(|n| fleet.callers(n)).collect();
+    let load = Load::start(9, &addrs, |n| match n % 2 {
+        0 => Ask::quote("a", &format!("q{n}"), 30),
+        _ => Ask::single("a", &format!("s{n}"), 30),
+    });
+    more(&load).await;
+    fleet.order(0, "plan week reboot zone z0").await;
+    until("a worker drained", || async { hosts_out(&fleet, 1, "main").await > 0 }).await;
+    if let Some(process) = &mut fleet.entries[0].process {
+        process.kill();
+    }
+    let most = std::sync::atomic::AtomicU64::new(0);
+    until("the plan done", || async {
+        most.fetch_max(hosts_out(&fleet, 1, "main").await, std::sync::atomic::Ordering::SeqCst);
+        plan_row(&fleet, 1).await.is_some_and(|row| row["state"] == "Done")
+    })
+    .await;
+    let most = most.into_inner();
+    assert_that!(most, le(2));
+    assert_that!(hosts_out(&fleet, 1, "main").await, eq(0));
+    more(&load).await;
+    let told = load.stop().await;
+    assert_that!(check::answers(&told, &fleet.all_records().await), is_empty());
+    let cut: Vec<_> = told.iter().filter(|t| t.verdict == Some(edge::Verdict::MayHaveRun)).collect();
+    assert_that!(cut, is_empty(), "no request is cut by a reboot");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn can_pause_resume_and_abort_a_plan() {
+    let fleet = Fleet::start(plan()).await;
+    fleet.set_up(&[("a", 1, 30)], 1).await;
+    fleet.order(0, "plan p reboot zone z1").await;
+    fleet.order(1, "pause plan p").await;
+    fleet.order(2, "abort plan p").await;
+    until("all workers back", || async { hosts_out(&fleet, 0, "main").await == 0 }).await;
+    let again = fleet.send(0, "resume plan p").await.unwrap();
+    assert_that!(again["result"].as_str(), some(eq("refused")));
+    fleet.order(0, "plan p reboot zone z1").await;
+    until("the plan done", || async { plan_row(&fleet, 2).await.is_some_and(|row| row["state"] == "Done") })
+        .await;
+}
--- /dev/null
+++ b/tests/recovery.rs
@@ -0,0 +1,68 @@
+//! A fresh entry host recovers from the log, also when only a checkpoint and what follows is left.
+
+use edge::Fetcher;
+use fold::{Act, Entry};
+use googletest::prelude::*;
+use trial::caller::{Ask, call};
+use trial::fleet::{Fleet, Plan};
+use trial::until;
+
+fn plan() -> Plan {
+    let extra = "limits: { checkpoint_entries: 10 }, timing: { dead_ms: 3000 },".into();
+    Plan { extra, ..Plan::new(env!("CARGO_BIN_EXE_lagoonrelay").as_ref()) }
+}
+
+/// Offset that the newest whole checkpoint on the log goes up to.
+async fn checkpoint(fleet: &Fleet) -> Option<u64> {
+    let page = fleet.log_records().await;
+    let entries = page.entries.iter().rev().filter_map(|raw| serde_json::from_str::<Entry>(&raw.data).ok());
+    entries.flat_map(|entry| entry.acts).find_map(|act| match act {
+        Act::Checkpoint { upto, part, parts, .. } if part + 1 == parts => Some(upto),
+        _ => None,
+    })
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn recovers_from_a_checkpoint_when_older_records_are_gone() {
+    let mut fleet = Fleet::start(plan()).await;
+    fleet.set_up(&[("a", 3, 8), ("b", 1, 8)], 2).await;
+    until("a checkpoint after the set-up", || async {
+        checkpoint(&fleet).await.is_some_and(|upto| upto > 15)
+    })
+    .await;
+    let upto = checkpoint(&fleet).await.unwrap();
+    fleet.order(1, "set team b share 5 limit 8").await;
+    fleet.trim(upto).await;
+    if let Some(process) = &mut fleet.entries[2].process {
+        process.kill();
+    }
+    fleet.start_entry(2);
+    fleet.wait_ready(2).await;
+    let old = fleet.query(0, "show pools").await.unwrap();
+    assert_that!(fleet.query(2, "show pools").await.unwrap(), eq(&old));
+    let teams = fleet.query(2, "show teams").await.unwrap();
+    assert_that!((teams[0]["share"].as_u64(), teams[1]["share"].as_u64()), eq((Some(3), Some(5))));
+    let told = call(&Fetcher::default(), &fleet.callers(2), &Ask::booking("a", "after", 5)).await;
+    assert_that!(told.ran(), eq(true), "{told:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn keeps_claims_through_a_rolling_replacement_of_all_hosts() {
+    let mut fleet = Fleet::start(plan()).await;
+    fleet.set_up(&[("a", 1, 8)], 2).await;
+    let ask = Ask::booking("a", "kept", 5);
+    assert_that!(call(&Fetcher::default(), &fleet.callers(0), &ask).await.ran(), eq(true));
+    for number in 0..3 {
+        if let Some(process) = &mut fleet.entries[number].process {
+            process.kill();
+        }
+        fleet.start_entry(number);
+        fleet.wait_ready(number).await;
+    }
+    for number in 0..3 {
+        let told = call(&Fetcher::default(), &fleet.callers(number), &ask).await;
+        assert_that!(told.ran(), eq(true), "{told:?}");
+    }
+    let starts = fleet.all_records().await.into_iter().filter(|r| r.body == "kept").count();
+    assert_that!(starts, eq(1));
+}
