Hand free slots by name to the host where a needier team waits

Cause: slots stay with the host where they become free. Ruled out: the fair order on one host (exact in its tests) and stale loads (heartbeats every 200 ms against tasks of 150 ms on average).

Change: a host names the worker with the free slot to the peer where the neediest team waits for that pool, and treats the worker as full for 100 ms; waiting requests are told by team and pool. Teams at their limit get none.

--- a/components/entry/src/admit.rs
+++ b/components/entry/src/admit.rs
@@ -13,8 +13,9 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
+use crate::handover::HandOver;
 use crate::node::Node;
-use crate::state::{State, WorkerView};
+use crate::state::{Line, State, WorkerView};
 
 const TICK: Duration = Duration::from_millis(20);
 /// Average running tasks below which usage counts as none.
@@ -28,6 +29,26 @@
     usage: BTreeMap<String, f64>,
 }
 
+/// Length of one queue.
+#[derive(Debug)]
+pub struct Length {
+    /// Team and pool.
+    pub line: Line,
+    /// Waiting requests.
+    pub length: i64,
+}
+
+/// What to do with a free slot.
+#[derive(Debug)]
+enum Next {
+    /// Start this waiter.
+    Grant(oneshot::Sender<Grant>, Grant),
+    /// Tell a peer, where a needier team waits.
+    HandOver(HandOver),
+    /// Nothing can be done now.
+    Idle,
+}
+
 /// A team that runs tasks now.
 #[derive(Debug)]
 struct Active {
@@ -104,6 +125,22 @@
         i64::try_from(lengths.sum::<usize>()).unwrap_or(i64::MAX)
     }
 
+    /// Lengths of all queues, also of empty ones.
+    pub fn lengths(&self) -> impl Iterator<Item = Length> {
+        let teams =
+            self.pools.iter().flat_map(|(pool, teams)| teams.iter().map(move |(team, q)| (pool, team, q)));
+        teams.map(|(pool, team, queue)| Length {
+            line: Line { team: team.clone(), pool: pool.clone() },
+            length: i64::try_from(queue.len()).unwrap_or(i64::MAX),
+        })
+    }
+
+    /// True if requests wait for a pool.
+    #[must_use]
+    pub fn waits_for(&self, pool: &str) -> bool {
+        self.pools.get(pool).is_some_and(|teams| teams.values().any(|queue| !queue.is_empty()))
+    }
+
     /// Recent usage of a team in average running tasks.
     #[must_use]
     pub fn usage(&self, team: &str) -> f64 {
@@ -153,25 +190,29 @@
     #[must_use]
     pub fn running(&self, team: &str) -> i64 {
         let own = self.purses.get(team).map_or(0, escrow::Purse::used);
-        own + self.peers.values().filter_map(|p| p.load.get(team)).map(|l| l.running).sum::<i64>()
+        let line = Line { team: team.to_owned(), pool: String::new() };
+        own + self.peers.values().filter_map(|p| p.load.get(&line)).map(|l| l.running).sum::<i64>()
     }
 
     /// Requests of a team that wait anywhere, as last heard.
     #[must_use]
     pub fn waiting(&self, team: &str) -> i64 {
-        let peers = self.peers.values().filter_map(|p| p.load.get(team)).map(|l| l.waiting);
+        let lines = self.peers.values().flat_map(|p| &p.load).filter(|(line, _)| line.team == team);
+        let peers = lines.map(|(_, load)| load.waiting);
         self.queues.waiting(team) + peers.sum::<i64>()
     }
 
     /// Teams that run tasks anywhere, as last heard.
     fn active_teams(&self) -> Vec<Active> {
         let own = self.purses.iter().map(|(team, purse)| (team, purse.used()));
-        let peers = self.peers.values().flat_map(|p| &p.load).map(|(team, load)| (team, load.running));
+        let peers = self.peers.values().flat_map(|p| &p.load).map(|(line, load)| (&line.team, load.running));
         let running = own.chain(peers).filter(|(_, tasks)| *tasks > 0);
         running.map(|(team, tasks)| Active { name: team.clone(), tasks }).collect()
     }
 
-    fn claimant(&self, name: &str) -> Claimant {
+    /// A team's place in the fair order.
+    #[must_use]
+    pub fn claimant(&self, name: &str) -> Claimant {
         let share = self.tables.teams.get(name).map_or(1, |t| t.share);
         #[expect(clippy::cast_precision_loss, reason = "counts of tasks are small")]
         let running = self.running(name) as f64;
@@ -228,17 +269,21 @@
         choose(choice, &candidates, &mut rand::rng()).map(|i| names[i].clone())
     }
 
-    /// Takes one waiter of a pool with a unit and a slot.
-    fn grant_one(
-        &mut self,
-        pool: &str,
-        node: &Node,
-        now: Instant,
-    ) -> Option<(oneshot::Sender<Grant>, Grant)> {
+    /// Decides about one free slot of a pool.
+    fn next_slot(&mut self, pool: &str, node: &Node, now: Instant) -> Next {
+        self.try_slot(pool, node, now).unwrap_or(Next::Idle)
+    }
+
+    fn try_slot(&mut self, pool: &str, node: &Node, now: Instant) -> Option<Next> {
         let team = self.next_team(pool, node.settings.admission)?;
         let failed = self.queues.pools.get(pool)?.get(&team)?.front()?.failed.clone();
         let worker = self.next_worker(pool, &failed, node.settings.placement, now)?;
         self.may_start(now, node.fresh(), &worker).ok()?;
+        if node.settings.admission == Admission::Fair
+            && let Some(peer) = self.needier_peer(pool, &team, now)
+        {
+            return Some(Next::HandOver(self.hand_over(peer, worker, now)));
+        }
         if !self.purses.get_mut(&team)?.acquire() {
             return None;
         }
@@ -247,7 +292,7 @@
         }
         let waiter = self.queues.pools.get_mut(pool)?.get_mut(&team)?.pop_front()?;
         metrics::histogram!("lagoonrelay_queue_seconds").record(waiter.since.elapsed().as_secs_f64());
-        Some((waiter.grant, Grant { team, worker }))
+        Some(Next::Grant(waiter.grant, Grant { team, worker }))
     }
 }
 
@@ -301,10 +346,15 @@
         let pools: Vec<String> = self.state.lock().queues.pools.keys().cloned().collect();
         for pool in pools {
             loop {
-                let found = self.state.lock().grant_one(&pool, self, Instant::now());
-                let Some((sender, grant)) = found else { break };
-                if let Err(grant) = sender.send(grant) {
-                    drop(self.hold(grant));
+                let next = self.state.lock().next_slot(&pool, self, Instant::now());
+                match next {
+                    Next::Idle => break,
+                    Next::HandOver(slot) => self.send_slot(slot),
+                    Next::Grant(sender, grant) => {
+                        if let Err(grant) = sender.send(grant) {
+                            drop(self.hold(grant));
+                        }
+                    }
                 }
             }
         }
--- a/components/entry/src/beat.rs
+++ b/components/entry/src/beat.rs
@@ -11,7 +11,7 @@
 
 use crate::node::Node;
 use crate::peers;
-use crate::state::{PeerView, State, TeamLoad};
+use crate::state::{Line, PeerView, State, TeamLoad};
 use crate::tail;
 
 const COALESCE_TIME: Duration = Duration::from_millis(10);
@@ -53,14 +53,24 @@
     /// Takes in changed loads; teams without any are forgotten.
     fn take_load(&mut self, changes: &[Running]) {
         for change in changes {
+            let line = Line { team: change.team.clone(), pool: change.pool.clone() };
             let load = TeamLoad { running: change.tasks, waiting: change.waiting };
             if load == TeamLoad::default() {
-                self.load.remove(&change.team);
+                self.load.remove(&line);
             } else {
-                self.load.insert(change.team.clone(), load);
+                self.load.insert(line, load);
             }
         }
     }
+
+    /// Notes a load to be sent if it differs from what was sent last.
+    fn note_change(&mut self, line: Line, load: TeamLoad, changes: &mut Vec<Running>) {
+        if self.sent.get(&line).copied().unwrap_or_default() != load {
+            let (team, pool) = (line.team.clone(), line.pool.clone());
+            changes.push(Running { team, pool, tasks: load.running, waiting: load.waiting });
+            self.sent.insert(line, load);
+        }
+    }
 }
 
 impl State {
@@ -152,11 +162,11 @@
         let mut changes = Vec::new();
         let Some(view) = self.peers.get_mut(&peer) else { return changes };
         for (team, purse) in &self.purses {
-            let load = TeamLoad { running: purse.used(), waiting: self.queues.waiting(team) };
-            if view.sent.get(team).copied().unwrap_or_default() != load {
-                view.sent.insert(team.clone(), load);
-                changes.push(Running { team: team.clone(), tasks: load.running, waiting: load.waiting });
-            }
+            let line = Line { team: team.clone(), pool: String::new() };
+            view.note_change(line, TeamLoad { running: purse.used(), waiting: 0 }, &mut changes);
+        }
+        for queue in self.queues.lengths() {
+            view.note_change(queue.line, TeamLoad { running: 0, waiting: queue.length }, &mut changes);
         }
         changes
     }
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -13,6 +13,7 @@
 mod claim_sync;
 mod command;
 mod drain;
+mod handover;
 mod job_calls;
 mod jobs;
 mod members;
--- a/components/entry/src/peers.rs
+++ b/components/entry/src/peers.rs
@@ -115,6 +115,7 @@
             Body::Claim(message) => Some(Body::ClaimReply(self.answer_claim(&message))),
             Body::FetchEntries(fetch) => Some(Body::LogEntries(entries_from(&self.state.lock(), fetch.from))),
             Body::CopyClaims(copy) => Some(Body::Claims(self.answer_copy(&copy))),
+            Body::Slot(slot) => Some(Body::Slot(self.answer_slot(slot))),
             _ => None,
         }
     }
--- a/components/entry/src/state.rs
+++ b/components/entry/src/state.rs
@@ -15,7 +15,8 @@
 const RECENT_ENTRIES: usize = 4096;
 const EJECT_FAILURES: u32 = 5;
 const EJECT_TIME: Duration = Duration::from_secs(5);
-const REPORT_TIME: Duration = Duration::from_millis(100);
+/// Time for which a worker's report of its tasks counts.
+pub const REPORT_TIME: Duration = Duration::from_millis(100);
 
 /// Everything that the parts of one host share.
 #[derive(Debug)]
@@ -61,12 +62,14 @@
     pub hears: Vec<Incarnation>,
     /// True if it takes nothing new.
     pub leaving: bool,
-    /// Tasks and waiting requests by team.
-    pub load: BTreeMap<String, TeamLoad>,
+    /// Tasks and waiting requests by team and pool.
+    pub load: BTreeMap<Line, TeamLoad>,
     /// Units that it lacks, by team.
     pub needs: BTreeMap<String, i64>,
     /// Last values sent to it, to send only changes.
-    pub sent: BTreeMap<String, TeamLoad>,
+    pub sent: BTreeMap<Line, TeamLoad>,
+    /// Slots handed to it lately.
+    pub handed: Handed,
     /// Members heard that were sent to it last.
     pub sent_heard: Vec<Incarnation>,
     /// True while it may not have what was sent.
@@ -83,12 +86,31 @@
             load: BTreeMap::new(),
             needs: BTreeMap::new(),
             sent: BTreeMap::new(),
+            handed: Handed { since: now, slots: 0 },
             sent_heard: Vec::new(),
             unknown: true,
         }
     }
 }
 
+/// What a load is counted for: tasks running of a team, or requests of a team that wait for a pool.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Line {
+    /// Team name.
+    pub team: String,
+    /// Pool name; empty where running tasks are counted.
+    pub pool: String,
+}
+
+/// Slots handed to a peer since a time.
+#[derive(Debug, Clone, Copy)]
+pub struct Handed {
+    /// Start of the count.
+    pub since: Instant,
+    /// How many.
+    pub slots: i64,
+}
+
 /// Load of one team on one host.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct TeamLoad {
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -6,4 +6,4 @@
 mod share;
 
 pub use place::{Avoid, Candidate, Choice, choose};
-pub use share::{Claimant, distance, max_min, pick};
+pub use share::{Claimant, distance, is_needier, max_min, pick};
--- a/components/policy/src/share.rs
+++ b/components/policy/src/share.rs
@@ -13,6 +13,8 @@
 
 /// Weight of recent usage against tasks running now.
 const USAGE_WEIGHT: f64 = 0.5;
+/// How far below its share, relatively, a team elsewhere must be to be handed a slot.
+const HAND_OVER_MARGIN: f64 = 0.8;
 
 impl Claimant {
     fn level(&self) -> f64 {
@@ -27,6 +29,12 @@
     levels.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(index, _)| index)
 }
 
+/// True if a free slot is better handed to a team that waits at another host.
+#[must_use]
+pub fn is_needier(there: &Claimant, here: &Claimant) -> bool {
+    there.level() < HAND_OVER_MARGIN * here.level()
+}
+
 /// Weighted max-min fair parts of a capacity, none above its demand.
 #[must_use]
 pub fn max_min(capacity: f64, shares: &[f64], demands: &[f64]) -> Vec<f64> {
--- a/components/policy/tests/decisions.rs
+++ b/components/policy/tests/decisions.rs
@@ -1,7 +1,7 @@
 //! Shares and placement.
 
 use googletest::prelude::*;
-use policy::{Avoid, Candidate, Choice, Claimant, choose, distance, max_min, pick};
+use policy::{Avoid, Candidate, Choice, Claimant, choose, distance, is_needier, max_min, pick};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
@@ -24,6 +24,13 @@
     expect_eq!(pick(&[sated, starved]), Some(1));
 }
 
+#[gtest]
+fn hands_a_slot_only_to_a_team_well_below() {
+    expect_true!(is_needier(&team(1.0, 1.0), &team(1.0, 4.0)));
+    expect_false!(is_needier(&team(1.0, 4.0), &team(1.0, 4.0)));
+    expect_false!(is_needier(&team(1.0, 9.0), &team(1.0, 4.0)));
+}
+
 #[gtest]
 fn lends_unused_share() {
     expect_that!(max_min(10.0, &[1.0, 1.0], &[2.0, 99.0]), elements_are![near(2.0, 1e-9), near(8.0, 1e-9)]);
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -9,5 +9,5 @@
 pub use link::{Link, LinkError, MAX_FRAME_BYTES, VERSION};
 pub use message::{
     Beat, Body, ClaimMessage, ClaimReply, Claims, CopyClaims, Envelope, FetchEntries, Given, Heard,
-    LogEntries, Need, RawEntry, Running,
+    LogEntries, Need, RawEntry, Running, Slot,
 };
--- a/components/wire/src/message.rs
+++ b/components/wire/src/message.rs
@@ -12,7 +12,7 @@
     #[prost(uint64, tag = "2")]
     pub clock: u64,
     /// Content.
-    #[prost(oneof = "Body", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(oneof = "Body", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
     pub body: Option<Body>,
 }
 
@@ -49,6 +49,9 @@
     /// Reply with stored claims.
     #[prost(message, tag = "12")]
     Claims(Claims),
+    /// Hands over a free slot; the reply repeats it.
+    #[prost(message, tag = "13")]
+    Slot(Slot),
 }
 
 /// First frame of the dialer.
@@ -161,6 +164,17 @@
     /// How many wait now.
     #[prost(int64, tag = "3")]
     pub waiting: i64,
+    /// Pool that they wait for; empty in the entry that counts running tasks.
+    #[prost(string, tag = "4")]
+    pub pool: String,
+}
+
+/// A worker's slot that is free.
+#[derive(Clone, PartialEq, Message)]
+pub struct Slot {
+    /// Worker name.
+    #[prost(string, tag = "1")]
+    pub worker: String,
 }
 
 /// A claim on a request id.
