Tell 'not run' of an idempotent request only if no try ran

Cause: found by reading. When a first try ran or may have run and a later one was refused, the caller was told the later result, 'not run', which was false. Ruled out for keyed and single requests: those settle or stop at the first unknown try.

Change: the result of the last try that ran or may have run stands over a later 'not run'.

Failed first: never_tells_not_run_of_a_quote_whose_first_try_ran saw NotRun for a quote that the worker had started; MayHaveRun after.

--- a/components/entry/src/serve.rs
+++ b/components/entry/src/serve.rs
@@ -155,27 +155,30 @@
     /// Also retries a request that failed or may have run, while the retry budget lasts.
     async fn run_idempotent(self: &Arc<Self>, work: &Work) -> Result<Answer, Fault> {
         let mut ask = work.ask.clone();
-        let mut tries = 0;
+        let mut tries = Tries::default();
         self.retries.earn(self.settings.limits.retry_percent);
         loop {
-            let hold = self.admit(&ask, self.queue_until(work.deadline)).await?;
+            let hold = match self.admit(&ask, self.queue_until(work.deadline)).await {
+                Ok(hold) => hold,
+                Err(fault) => return tries.end(Err(fault)),
+            };
             let place = hold.place();
             let tried = self.attempt(hold, &work.task(Patience::OneQuestion), self.try_until(work)).await;
+            let more_time = left(work.deadline) > PAUSE_BEFORE_RETRY;
             let done = match tried {
                 Tried::Answered(answer) if !answer.status.is_server_error() => return Ok(answer),
                 Tried::Answered(answer) => Ok(answer),
                 Tried::Unknown { reason } => Err(Fault::may_have_run(reason)),
-                Tried::NotRun { full: true, .. } if left(work.deadline) > PAUSE_BEFORE_RETRY => {
+                Tried::NotRun { full: true, .. } if more_time => {
                     tokio::time::sleep(PAUSE_BEFORE_RETRY).await;
                     continue;
                 }
                 Tried::NotRun { reason, .. } => Err(Fault::not_run(reason)),
             };
-            tries += 1;
-            let spent = tries >= self.settings.limits.tries || left(work.deadline) < PAUSE_BEFORE_RETRY;
-            let free = matches!(&done, Err(fault) if fault.verdict == Verdict::NotRun);
-            if spent || !(free || self.retries.spend()) {
-                return done;
+            tries.count(&done);
+            let spent = tries.count >= self.settings.limits.tries || !more_time;
+            if spent || !(not_run(&done) || self.retries.spend()) {
+                return tries.end(done);
             }
             metrics::counter!("lagoonrelay_retries_total").increment(1);
             ask.failed.push(place);
@@ -189,6 +192,32 @@
     }
 }
 
+/// Tries of one idempotent request so far.
+#[derive(Default)]
+struct Tries {
+    count: u32,
+    /// Result of the last try that ran or may have run.
+    ran: Option<Result<Answer, Fault>>,
+}
+
+impl Tries {
+    fn count(&mut self, done: &Result<Answer, Fault>) {
+        self.count += 1;
+        if !not_run(done) {
+            self.ran = Some(done.clone());
+        }
+    }
+
+    /// Result for the caller: 'not run' only if no try ran or may have run.
+    fn end(self, done: Result<Answer, Fault>) -> Result<Answer, Fault> {
+        if not_run(&done) { self.ran.unwrap_or(done) } else { done }
+    }
+}
+
+fn not_run(done: &Result<Answer, Fault>) -> bool {
+    matches!(done, Err(fault) if fault.verdict == Verdict::NotRun)
+}
+
 impl Work {
     /// A task with a new id.
     fn task(&self, patience: Patience) -> Task {
--- a/tests/once.rs
+++ b/tests/once.rs
@@ -156,3 +156,15 @@
     assert_that!(told[0].verdict, eq(Some(Verdict::MayHaveRun)));
     assert_that!(check::answers(&told, &fleet.all_records().await), is_empty());
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn never_tells_not_run_of_a_quote_whose_first_try_ran() {
+    let fleet = Fleet::start(Plan { workers: 1, zones: 1, ..plan() }).await;
+    fleet.set_up(&[("a", 1, 8)], 1).await;
+    let http = Fetcher::default();
+    assert_that!(call(&http, &fleet.callers(0), &Ask::quote("a", "before", 5)).await.ran(), eq(true));
+    fleet.workers[0].proxy.set(Mode::LoseAnswers);
+    let told = call(&http, &fleet.callers(0), &Ask::quote("a", "lost", 5)).await;
+    assert_that!(starts(&fleet, "lost").await, ge(1), "it ran, and its answer is lost");
+    assert_that!(told.verdict, eq(Some(Verdict::MayHaveRun)), "{told:?}");
+}
