Know that one's own refused rounds did not run; settle a start whose id was seen

Cause: with bookings under a maintenance plan, some were told 'may have run' though nothing had run. A worker that had rebooted refused the start (another boot); the next round settled this host's own claim with it, found the new boot, and could not exclude that the old one had run it. The refusal itself was the proof. Ruled out: requests cut by the reboot (the worker was idle).

Change: earlier rounds of the same call are known to be over. A call begins above the rounds that an earlier call of this host may have left open, and a refusal because the id was seen is settled, not taken as 'not run'.

--- a/components/edge/src/lib.rs
+++ b/components/edge/src/lib.rs
@@ -17,8 +17,8 @@
 pub use roster::{HostInfo, HostState, HttpRoster, Roster};
 pub use verdict::{Fault, VERDICT_HEADER, Verdict};
 pub use worker::{
-    Answer, HttpWorkers, LeasedTask, RESUME_HEADER, RUNNING_HEADER, StartOrder, TASK_HEADER, TaskKind,
-    TaskState, Usage, Workers,
+    Answer, HttpWorkers, LeasedTask, REFUSED_FULL, REFUSED_SEEN, RESUME_HEADER, RUNNING_HEADER, StartOrder,
+    TASK_HEADER, TaskKind, TaskState, Usage, Workers,
 };
 
 /// A boxed future, so that edges can be used as trait objects.
--- a/components/edge/src/worker.rs
+++ b/components/edge/src/worker.rs
@@ -16,6 +16,10 @@
 /// Response header with the number of tasks running on the worker.
 pub const RUNNING_HEADER: &str = "x-running";
 
+/// Reason of a worker that refuses a start for want of a slot.
+pub const REFUSED_FULL: &str = "no slot is free";
+/// Reason of a worker that refuses a start because it knows the task id; the task may have run.
+pub const REFUSED_SEEN: &str = "task id has been seen";
 /// Header with the checkpoint that a task goes on from.
 pub const RESUME_HEADER: &str = "x-resume";
 
--- a/components/entry/src/attempt.rs
+++ b/components/entry/src/attempt.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use edge::{Answer, StartOrder, TaskKind, TaskState, Verdict, wall_ms};
+use edge::{Answer, REFUSED_FULL, REFUSED_SEEN, StartOrder, TaskKind, TaskState, Verdict, wall_ms};
 use events::Event;
 use poem::http::StatusCode;
 use tokio::time::sleep;
@@ -153,8 +153,8 @@
             tokio::select! {
                 done = &mut start => return match done {
                     Ok(answer) => Tried::Answered(answer),
-                    Err(fault) if fault.verdict == Verdict::NotRun => {
-                        Tried::NotRun { full: fault.reason == "no slot is free", reason: fault.reason }
+                    Err(fault) if fault.verdict == Verdict::NotRun && fault.reason != REFUSED_SEEN => {
+                        Tried::NotRun { full: fault.reason == REFUSED_FULL, reason: fault.reason }
                     }
                     Err(fault) => self.settle_lost(hold, &order.id, deadline, &fault.reason).await,
                 },
--- a/components/entry/src/once.rs
+++ b/components/entry/src/once.rs
@@ -67,6 +67,13 @@
     }
 }
 
+/// Rounds of one call.
+#[derive(Debug, Clone, Copy)]
+struct Rounds {
+    first: u32,
+    current: u32,
+}
+
 /// What one round came to.
 enum Round {
     /// The request has its result.
@@ -92,9 +99,11 @@
     }
 
     async fn run_rounds(self: &Arc<Self>, id: &str, work: &Work) -> Done {
-        let mut round = 1;
+        // An earlier call of this host may have left claims whose end is not known.
+        let first = self.state.lock().claims.newest(id).map_or(0, |claim| claim.round) + 1;
+        let mut round = first;
         for _ in 0..MAX_ROUNDS {
-            match self.run_round(id, round, work).await {
+            match self.run_round(id, Rounds { first, current: round }, work).await {
                 Round::Done(done) => return done,
                 Round::Higher(next) => round = next,
             }
@@ -102,10 +111,11 @@
         Err(Fault::not_run("too many hosts tried this key at once"))
     }
 
-    async fn run_round(self: &Arc<Self>, id: &str, round: u32, work: &Work) -> Round {
+    async fn run_round(self: &Arc<Self>, id: &str, rounds: Rounds, work: &Work) -> Round {
+        let round = rounds.current;
         let hold = match self.admit(&work.ask, self.queue_until(work.deadline)).await {
             Ok(hold) => hold,
-            Err(fault) => return Round::Done(self.refuse_round(id, fault, work).await),
+            Err(fault) => return Round::Done(self.refuse_round(id, fault, rounds, work).await),
         };
         let Some(boot) = self.boot_of(&hold.worker, &hold.addr).await else {
             self.worker_answered(&hold.worker, false, None);
@@ -118,7 +128,8 @@
             Next::Retry(others) => (false, others),
             Next::Wait => return Round::Done(Err(Fault::may_have_run("no majority of entry hosts answers"))),
         };
-        if let Some(done) = self.settle_claims(&others, work.deadline).await {
+        let open: Vec<Claim> = others.into_iter().filter(|c| !self.is_over(c, rounds)).collect();
+        if let Some(done) = self.settle_claims(&open, work.deadline).await {
             return Round::Done(done);
         }
         if starts {
@@ -128,8 +139,13 @@
         }
     }
 
+    /// True if a claim is of an earlier round of this call, whose task is known not to have run.
+    fn is_over(&self, claim: &Claim, rounds: Rounds) -> bool {
+        claim.owner == self.inc && claim.round >= rounds.first && claim.round < rounds.current
+    }
+
     /// A refusal by admission is only true if no earlier claim on the key has run.
-    async fn refuse_round(&self, id: &str, fault: Fault, work: &Work) -> Done {
+    async fn refuse_round(&self, id: &str, fault: Fault, rounds: Rounds, work: &Work) -> Done {
         let probe = Claim { id: id.to_owned(), round: 0, owner: self.inc, worker: String::new(), boot: 0 };
         let members = self.state.lock().voters();
         let (poll, _) = self.offer_to_members(&probe).await;
@@ -138,7 +154,8 @@
                 Err(Fault::may_have_run(format!("{}; no majority of entry hosts answers", fault.reason)))
             }
             Next::Start(others) | Next::Retry(others) => {
-                self.settle_claims(&others, work.deadline).await.unwrap_or(Err(fault))
+                let open: Vec<Claim> = others.into_iter().filter(|c| !self.is_over(c, rounds)).collect();
+                self.settle_claims(&open, work.deadline).await.unwrap_or(Err(fault))
             }
         }
     }
--- a/components/standin/src/worker.rs
+++ b/components/standin/src/worker.rs
@@ -9,8 +9,8 @@
 use std::time::{Duration, Instant};
 
 use edge::{
-    Incarnation, LeasedTask, RESUME_HEADER, RUNNING_HEADER, TASK_HEADER, TaskState, Usage, VERDICT_HEADER,
-    Verdict, wall_ms,
+    Incarnation, LeasedTask, REFUSED_FULL, REFUSED_SEEN, RESUME_HEADER, RUNNING_HEADER, TASK_HEADER,
+    TaskState, Usage, VERDICT_HEADER, Verdict, wall_ms,
 };
 use parking_lot::Mutex;
 use poem::http::StatusCode;
@@ -140,7 +140,7 @@
     fn admit(&self, order: &Order) -> Admit {
         let mut inner = self.inner.lock();
         if inner.tasks.contains_key(&order.id) {
-            return Admit::Refuse("task id has been seen");
+            return Admit::Refuse(REFUSED_SEEN);
         }
         if inner.revoked.contains(&order.lease) {
             return Admit::Refuse("lease is revoked");
@@ -152,7 +152,7 @@
             return Admit::Refuse("start deadline has passed");
         }
         if inner.running >= self.slots {
-            return Admit::Refuse("no slot is free");
+            return Admit::Refuse(REFUSED_FULL);
         }
         let stop = Arc::new(Stop::default());
         inner.begin(order, Arc::clone(&stop));
--- a/tests/maintenance.rs
+++ b/tests/maintenance.rs
@@ -115,8 +115,9 @@
     let mut fleet = Fleet::start(Plan { workers: 6, ..plan() }).await;
     fleet.set_up(&[("a", 1, 30)], 1).await;
     let addrs: Vec<String> = (0..3).map(|n| fleet.callers(n)).collect();
-    let load = Load::start(9, &addrs, |n| match n % 2 {
+    let load = Load::start(12, &addrs, |n| match n % 3 {
         0 => Ask::quote("a", &format!("q{n}"), 30),
+        1 => Ask::booking("a", &format!("b{n}"), 30),
         _ => Ask::single("a", &format!("s{n}"), 30),
     });
     more(&load).await;
