--- a/components/trial/src/experiments/in_force.rs
+++ b/components/trial/src/experiments/in_force.rs
@@ -18,29 +18,33 @@
     seconds: Spread,
 }
 
-/// Runs all cases.
+/// What is wrong with the last entry host.
+#[derive(Debug, Clone, Copy)]
+enum Fault {
+    None,
+    Silent,
+    Paused,
+}
+
+/// Runs all cases, each with a fleet of its own, since a host that is silent for long is shut out.
 pub async fn run(settings: &Settings) {
     for entries in [4, 8] {
-        let plan = Plan { entries, ..Plan::new(&settings.program) };
-        let mut fleet = Fleet::start(plan).await;
-        fleet.set_up(&[("a", 1, 32)], 2).await;
-        let last = usize::from(entries) - 1;
-        measure(&fleet, settings, "none").await;
-        fleet.set_around(last, Mode::Silent);
-        measure(&fleet, settings, "one host silent").await;
-        fleet.set_around(last, Mode::Pass);
-        fleet.wait_ready(last).await;
-        if let Some(process) = &fleet.entries[last].process {
-            process.pause();
-        }
-        measure(&fleet, settings, "one host paused").await;
-        if let Some(process) = &mut fleet.entries[last].process {
-            process.kill();
+        for fault in [Fault::None, Fault::Silent, Fault::Paused] {
+            let plan = Plan { entries, ..Plan::new(&settings.program) };
+            let fleet = Fleet::start(plan).await;
+            fleet.set_up(&[("a", 1, 32)], 2).await;
+            let last = usize::from(entries) - 1;
+            match (fault, &fleet.entries[last].process) {
+                (Fault::Silent, _) => fleet.set_around(last, Mode::Silent),
+                (Fault::Paused, Some(process)) => process.pause(),
+                _ => {}
+            }
+            measure(&fleet, settings, fault).await;
         }
     }
 }
 
-async fn measure(fleet: &Fleet, settings: &Settings, fault: &'static str) {
+async fn measure(fleet: &Fleet, settings: &Settings, fault: Fault) {
     let mut seconds = Vec::new();
     let mut accepted = 0;
     for trial in 0..settings.trials {
@@ -51,5 +55,10 @@
     }
     let entry_hosts = u8::try_from(fleet.entries.len()).unwrap_or(u8::MAX);
     let trials = seconds.len();
+    let fault = match fault {
+        Fault::None => "none",
+        Fault::Silent => "one host silent",
+        Fault::Paused => "one host paused",
+    };
     row(&Row { experiment: "in-force", entry_hosts, fault, trials, accepted, seconds: spread(seconds) });
 }
