Reclaim only with a host list that was read lately and lacks no worker; keep units whose return was withdrawn

Cause: found by reading. A host that has just started and has not read the host list knows no worker, so 'all workers have revoked the lease' was true of none. And units set aside for a return that never left the host stayed set aside.

Change: reclaim waits for a list read within 5 s in which every worker of a pool is found or has been missing for 10 s. A withdrawn return is undone.

--- a/components/entry/src/handover.rs
+++ b/components/entry/src/handover.rs
@@ -11,7 +11,7 @@
 use wire::{Body, Slot};
 
 use crate::node::Node;
-use crate::state::{Handed, Line, REPORT_TIME, State};
+use crate::state::{Handed, PeerView, REPORT_TIME, State};
 
 /// A slot on its way to a peer.
 #[derive(Debug)]
@@ -20,25 +20,23 @@
     worker: String,
 }
 
+/// Requests of a team that wait at a peer.
+#[derive(Debug, Clone, Copy)]
+struct PeerQueue<'a> {
+    peer: Incarnation,
+    team: &'a str,
+    waiting: i64,
+}
+
 impl State {
-    /// The peer where the neediest team waits for a pool, if it is well below a team that waits here.
+    /// The peer with the longest queue for a pool of a team that is well below a team that waits here.
     #[must_use]
     pub fn needier_peer(&self, pool: &str, team: &str, now: Instant) -> Option<Incarnation> {
         let here = self.claimant(team);
-        let mut best: Option<(Incarnation, &Line, i64)> = None;
-        for (inc, peer) in self.peers.iter().filter(|(_, p)| !p.leaving) {
-            let spare =
-                |waiting: i64| waiting - if peer.handed.is_recent(now) { peer.handed.slots } else { 0 };
-            let lines = peer.load.iter().filter(|(line, load)| line.pool == pool && spare(load.waiting) > 0);
-            for (line, load) in lines.filter(|(line, _)| line.team != team && self.may_grow(&line.team)) {
-                if best.is_none_or(|(_, _, most)| load.waiting > most)
-                    && is_needier(&self.claimant(&line.team), &here)
-                {
-                    best = Some((*inc, line, load.waiting));
-                }
-            }
-        }
-        best.map(|(inc, _, _)| inc)
+        let queues = self.peers.iter().flat_map(|(inc, peer)| peer.open_queues(*inc, pool, now));
+        let others = queues.filter(|queue| queue.team != team && self.may_grow(queue.team));
+        let needier = others.filter(|queue| is_needier(&self.claimant(queue.team), &here));
+        needier.max_by_key(|queue| queue.waiting).map(|queue| queue.peer)
     }
 
     /// True if a team is below its upper limit.
@@ -58,6 +56,22 @@
     }
 }
 
+impl PeerView {
+    /// Queues for a pool at this peer that are longer than the slots handed to it lately.
+    fn open_queues<'a>(
+        &'a self,
+        peer: Incarnation,
+        pool: &'a str,
+        now: Instant,
+    ) -> impl Iterator<Item = PeerQueue<'a>> {
+        let handed = if self.handed.is_recent(now) { self.handed.slots } else { 0 };
+        let lines = self.load.iter().filter(move |(line, _)| line.pool == pool && !self.leaving);
+        let queues =
+            lines.map(move |(line, load)| PeerQueue { peer, team: &line.team, waiting: load.waiting });
+        queues.filter(move |queue| queue.waiting > handed)
+    }
+}
+
 impl Handed {
     fn is_recent(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.since) < REPORT_TIME
--- a/components/entry/src/members.rs
+++ b/components/entry/src/members.rs
@@ -123,7 +123,8 @@
     let (dead, workers) = {
         let state = node.state.lock();
         let dead = state.tables.dead();
-        if dead.is_empty() || !state.tables.all_settled() {
+        let ready = state.tables.all_settled() && state.knows_all_workers(Instant::now());
+        if dead.is_empty() || !ready {
             return;
         }
         let workers: Vec<_> = state.workers.iter().map(|(n, w)| (n.clone(), w.info.addr.clone())).collect();
--- a/components/entry/src/state.rs
+++ b/components/entry/src/state.rs
@@ -31,6 +31,10 @@
     pub peers: BTreeMap<Incarnation, PeerView>,
     /// Workers as listed and seen.
     pub workers: BTreeMap<String, WorkerView>,
+    /// When the host list was last read.
+    pub list_read: Option<Instant>,
+    /// Workers in pools that the host list lacks, and since when.
+    pub missing: BTreeMap<String, Instant>,
     /// Claims stored for the members.
     pub claims: claims::Table,
     /// True once the claims of a majority are copied.
@@ -169,6 +173,8 @@
             purses: BTreeMap::new(),
             peers: BTreeMap::new(),
             workers: BTreeMap::new(),
+            list_read: None,
+            missing: BTreeMap::new(),
             claims: claims::Table::default(),
             synced: false,
             fresh: Freshness::default(),
--- a/components/entry/src/units.rs
+++ b/components/entry/src/units.rs
@@ -6,6 +6,7 @@
 use fold::{Act, TeamUnits};
 use wire::Need;
 
+use crate::append::Proposed;
 use crate::node::Node;
 use crate::state::State;
 
@@ -33,11 +34,21 @@
 
 fn propose_one(node: Arc<Node>, act: Act) -> tokio::task::JoinHandle<()> {
     tokio::spawn(async move {
-        node.propose(act, LOG_WAIT).await;
+        let withdrawn = node.propose(act.clone(), LOG_WAIT).await == Proposed::Withdrawn;
+        if let (true, Act::GiveBack(units)) = (withdrawn, act) {
+            node.state.lock().keep_units(&units);
+        }
     })
 }
 
 impl State {
+    /// Takes up units again whose return never left this host.
+    fn keep_units(&mut self, units: &TeamUnits) {
+        if let Some(purse) = self.purses.get_mut(&units.team) {
+            purse.end_return(units.units);
+        }
+    }
+
     /// What to ask of the log now, for all teams.
     fn unit_acts(&mut self) -> Vec<Act> {
         if !self.is_live() || self.leaving {
--- a/components/entry/src/workers.rs
+++ b/components/entry/src/workers.rs
@@ -9,6 +9,11 @@
 use crate::node::Node;
 use crate::state::{State, WorkerView};
 
+/// Time for which a read of the host list counts.
+const LIST_TIME: Duration = Duration::from_secs(5);
+/// Time after which a worker that the host list lacks is gone.
+const GONE_TIME: Duration = Duration::from_secs(10);
+
 /// Reads the host list at its period until the node stops.
 pub async fn run(node: Arc<Node>) {
     let ticks = node.timer.every(Duration::from_millis(node.settings.timing.list_ms));
@@ -39,8 +44,29 @@
     }
 }
 
+impl State {
+    /// True if the host list was read lately and lacks no worker that could still come up in it.
+    ///
+    /// The list lags, so a worker that has just been put into a pool may be missing for a while.
+    #[must_use]
+    pub fn knows_all_workers(&self, now: Instant) -> bool {
+        let read = self.list_read.is_some_and(|at| now.saturating_duration_since(at) < LIST_TIME);
+        read && self.missing.values().all(|since| now.saturating_duration_since(*since) > GONE_TIME)
+    }
+
+    fn note_missing(&mut self, names: &BTreeSet<String>, now: Instant) {
+        self.list_read = Some(now);
+        let (tables, missing) = (&self.tables, &mut self.missing);
+        missing.retain(|name, _| tables.hosts.contains_key(name) && !names.contains(name));
+        for name in tables.hosts.keys().filter(|name| !names.contains(*name)) {
+            missing.entry(name.clone()).or_insert(now);
+        }
+    }
+}
+
 fn take_list(state: &mut State, hosts: Vec<HostInfo>) {
     let names: BTreeSet<String> = hosts.iter().map(|h| h.name.clone()).collect();
+    state.note_missing(&names, Instant::now());
     state.workers.retain(|name, view| names.contains(name) || view.inflight > 0);
     for (name, view) in &mut state.workers {
         view.listed = names.contains(name);
--- a/components/trial/src/fleet.rs
+++ b/components/trial/src/fleet.rs
@@ -182,6 +182,19 @@
         self.wait_answer(list, "/hosts").await;
     }
 
+    /// Ends the host list.
+    pub fn stop_list(&mut self) {
+        self.platform.truncate(1);
+    }
+
+    /// Starts the host list again.
+    pub async fn start_list(&mut self) {
+        let list = self.list_addr();
+        self.platform.push(self.spawn_standin("list", "list", list));
+        self.wait_answer(list, "/hosts").await;
+        self.put_list().await;
+    }
+
     async fn add_worker(&mut self, number: u8) {
         let (addr, front) =
             (self.at(WORKER_BASE + number, WORKER_PORT), self.at(WORKER_PROXY_BASE + number, WORKER_PORT));
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -159,3 +159,42 @@
 fn clip(record: standin::worker::Record, from: u64) -> standin::worker::Record {
     standin::worker::Record { started: record.started.max(from), ..record }
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn reclaims_nothing_while_the_host_list_is_out() {
+    let mut fleet = Fleet::start(plan()).await;
+    fleet.set_up(&[("a", 1, LIMIT)], 2).await;
+    let long = Load::start(usize::try_from(LIMIT).unwrap(), &[fleet.callers(1)], |n| {
+        Ask::single("a", &format!("long-{n}"), 12_000)
+    });
+    until("all units in use through one host", || async {
+        check::most_running(&fleet.all_records().await, "a") == i64::from(LIMIT)
+    })
+    .await;
+    fleet.stop_list();
+    // The hosts that come up now know no worker at all.
+    for number in 0..3 {
+        if let Some(process) = &mut fleet.entries[number].process {
+            process.kill();
+        }
+    }
+    fleet.start_entry(0);
+    fleet.start_entry(2);
+    until("the new hosts have settled with the old ones", || async {
+        let rows = fleet.query(0, "show members").await.unwrap_or_default();
+        rows.iter().filter(|row| row["state"] == "Live").count() == 2
+    })
+    .await;
+    until("the silent host shut out", || async {
+        let rows = fleet.query(0, "show members").await.unwrap_or_default();
+        rows.iter().filter(|row| row["state"] == "Fenced").count() == 3
+    })
+    .await;
+    fleet.start_list().await;
+    let short = Load::start(6, &[fleet.callers(0), fleet.callers(2)], |n| {
+        Ask::single("a", &format!("short-{n}"), 20)
+    });
+    more(&short).await;
+    drop((long, short));
+    assert_that!(check::most_running(&fleet.all_records().await, "a"), le(i64::from(LIMIT)));
+}
