Join although a command came first; a host is fenced only after it has joined

A command that reached a host before its join went to the log as its first entry, void since the writer was unknown. The host then took its own numbered entry without a membership for a sign that it had been shut out, and left. Ruled out: the log (it answered) and the timing of heartbeats (the host never joined).

Change: a host remembers that its join was applied and is shut out only after that; a join counts only when applied; commands are refused until then.

Failed first: joins_although_a_command_came_before_it_had_joined never saw the host ready; ready after.

--- a/components/entry/src/command.rs
+++ b/components/entry/src/command.rs
@@ -53,6 +53,9 @@
             Ok(change) => change,
             Err(reason) => return Answer::Refused { reason },
         };
+        if !self.state.lock().is_live() {
+            return Answer::Refused { reason: "this host has not joined, or is shut out".into() };
+        }
         if command.dry {
             return self.dry_run(command.version, &change);
         }
--- a/components/entry/src/node.rs
+++ b/components/entry/src/node.rs
@@ -6,7 +6,7 @@
 use config::Settings;
 use edge::{HttpLog, HttpRoster, HttpWorkers, Log, Roster, Workers, wall_ms};
 use events::{Event, Store};
-use fold::{Act, Incarnation};
+use fold::{Act, Incarnation, Outcome};
 use metrics_exporter_prometheus::PrometheusHandle;
 use parking_lot::Mutex;
 use tokio::net::TcpListener;
@@ -212,7 +212,7 @@
         admin: node.settings.admin.to_string(),
         zone: node.settings.zone.clone(),
     };
-    while !matches!(node.propose(act.clone(), JOIN_WAIT).await, Proposed::Folded(_)) {}
+    while !matches!(node.propose(act.clone(), JOIN_WAIT).await, Proposed::Folded(Outcome::Applied(_))) {}
     node.note(Event { kind: "join".into(), zone: node.settings.zone.clone(), ..Event::default() });
 }
 
--- a/components/entry/src/state.rs
+++ b/components/entry/src/state.rs
@@ -49,6 +49,8 @@
     pub pending: Option<PendingAppend>,
     /// Entries applied lately, for peers.
     pub recent: VecDeque<RawEntry>,
+    /// True once this host's join is on the log.
+    pub joined: bool,
     /// True once this host takes nothing new.
     pub leaving: bool,
     /// Requests that are being served.
@@ -182,6 +184,7 @@
             jobs: BTreeSet::new(),
             pending: None,
             recent: VecDeque::new(),
+            joined: false,
             leaving: false,
             serving: 0,
         }
@@ -193,13 +196,10 @@
         self.tables.members.get(&self.inc).is_some_and(|m| m.state == MemberState::Live)
     }
 
-    /// True if this host was a member and is shut out.
+    /// True if this host has joined and is shut out since.
     #[must_use]
     pub fn is_fenced(&self) -> bool {
-        match self.tables.members.get(&self.inc) {
-            Some(member) => member.state != MemberState::Live,
-            None => self.tables.seqs.contains_key(&self.inc),
-        }
+        self.joined && !self.is_live()
     }
 
     /// Number of members that count for majorities.
@@ -285,6 +285,7 @@
 
     fn apply_own_act(&mut self, act: &Act, outcome: &Outcome) {
         match (act, outcome) {
+            (Act::Join { .. }, Outcome::Applied(_)) => self.joined = true,
             (Act::Settle { about, .. }, Outcome::Applied(_)) => {
                 self.purses.values_mut().for_each(|p| p.settle(*about));
             }
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -66,3 +66,24 @@
     let starts = fleet.all_records().await.into_iter().filter(|r| r.body == "kept").count();
     assert_that!(starts, eq(1));
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn joins_although_a_command_came_before_it_had_joined() {
+    let mut fleet = Fleet::start(plan()).await;
+    fleet.set_up(&[("a", 1, 8)], 2).await;
+    if let Some(process) = &mut fleet.entries[2].process {
+        process.kill();
+    }
+    fleet.entries[2].log_proxy.set(trial::proxy::Mode::Cut);
+    fleet.start_entry(2);
+    until("its admin address answers", || async { fleet.query(2, "show status").await.is_ok() }).await;
+    let early = fleet.send(2, "set pool main budget 3");
+    let heal = async {
+        tokio::time::sleep(std::time::Duration::from_millis(200)).await;
+        fleet.entries[2].log_proxy.set(trial::proxy::Mode::Pass);
+    };
+    let (answer, ()) = tokio::join!(early, heal);
+    assert_that!(answer.unwrap()["result"].as_str(), some(eq("refused")));
+    fleet.wait_ready(2).await;
+    fleet.order(2, "set pool main budget 3").await;
+}
