One way to tell a stand-in a value; drop state that nothing reads

Cause: found by reading the whole change. The harness built the same JSON call three times; a peer's needs were stored and never read after they were met, and heartbeats told whether the sender votes, which nobody asked (the copying of claims says it in its own reply).

Change: one function for the three calls; the two unread fields are gone. Behaviour and checks as before.

--- a/components/entry/src/beat.rs
+++ b/components/entry/src/beat.rs
@@ -89,7 +89,6 @@
             view.load.clear();
         }
         view.take_load(&beat.running);
-        view.needs = beat.needs.iter().map(|n| (n.team.clone(), n.units)).collect();
         if live {
             self.receive(peer, &beat.given);
         }
@@ -142,7 +141,6 @@
             needs: self.needs(),
             running: self.load_changes(peer),
             leaving: self.leaving,
-            synced: self.synced,
             heard: self.heard_change(peer, heard),
         }
     }
--- a/components/entry/src/state.rs
+++ b/components/entry/src/state.rs
@@ -70,8 +70,6 @@
     pub leaving: bool,
     /// Tasks and waiting requests by team and pool.
     pub load: BTreeMap<Line, TeamLoad>,
-    /// Units that it lacks, by team.
-    pub needs: BTreeMap<String, i64>,
     /// Last values sent to it, to send only changes.
     pub sent: BTreeMap<Line, TeamLoad>,
     /// Slots handed to it lately.
@@ -90,7 +88,6 @@
             hears: Vec::new(),
             leaving: false,
             load: BTreeMap::new(),
-            needs: BTreeMap::new(),
             sent: BTreeMap::new(),
             handed: Handed { since: now, slots: 0 },
             sent_heard: Vec::new(),
--- a/components/trial/src/fleet.rs
+++ b/components/trial/src/fleet.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use edge::{Fetch, Fetcher, HostInfo, HostState, LogPage};
 use http::{HeaderMap, HeaderValue, Method, header};
+use serde::Serialize;
 use serde_json::Value;
 use standin::log::Misbehaviour;
 use standin::worker::Record;
@@ -260,13 +261,18 @@
     pub async fn put_list(&self) {
         let mut infos: Vec<HostInfo> = self.workers.iter().map(|w| w.info.clone()).collect();
         infos.extend((0..self.plan.listed).map(|n| self.listed_host(n)));
-        let body = Bytes::from(serde_json::to_vec(&infos).expect("host list as JSON"));
-        let headers =
-            HeaderMap::from_iter([(header::CONTENT_TYPE, HeaderValue::from_static("application/json"))]);
-        let addr = self.list_addr().to_string();
-        let call = Fetch { method: Method::PUT, headers, ..Fetch::post(&addr, "/hosts", body, CALL_TIME) };
-        let done = self.http.fetch(call).await.expect("host list stand-in");
-        assert!(done.status.is_success(), "host list is not taken: {}", done.status);
+        self.tell(self.list_addr(), Method::PUT, "/hosts", &infos).await;
+    }
+
+    /// Sends a value to a stand-in, which must take it.
+    async fn tell(&self, addr: SocketAddr, method: Method, path: &str, value: &impl Serialize) {
+        let json = HeaderValue::from_static("application/json");
+        let headers = HeaderMap::from_iter([(header::CONTENT_TYPE, json)]);
+        let body = Bytes::from(serde_json::to_vec(value).expect("JSON"));
+        let addr = addr.to_string();
+        let call = Fetch { method, headers, ..Fetch::post(&addr, path, body, CALL_TIME) };
+        let done = self.http.fetch(call).await.expect("a stand-in that is up");
+        assert!(done.status.is_success(), "{path} is not taken: {}", done.status);
     }
 
     /// A worker that is listed and never run.
@@ -438,13 +444,7 @@
     /// # Panics
     /// When the stand-in does not take it.
     pub async fn misbehave(&self, state: Misbehaviour) {
-        let addr = self.log_addr().to_string();
-        let headers =
-            HeaderMap::from_iter([(header::CONTENT_TYPE, HeaderValue::from_static("application/json"))]);
-        let body = Bytes::from(serde_json::to_vec(&state).expect("JSON"));
-        let call = Fetch { headers, ..Fetch::post(&addr, "/misbehave", body, CALL_TIME) };
-        let done = self.http.fetch(call).await.expect("log stand-in");
-        assert!(done.status.is_success(), "misbehaviour is not taken: {}", done.status);
+        self.tell(self.log_addr(), Method::POST, "/misbehave", &state).await;
     }
 
     /// Makes the log forget everything before an offset.
@@ -493,12 +493,7 @@
     /// # Panics
     /// When the worker does not take it.
     pub async fn set_mood(&self, number: usize, mood: standin::worker::Mood) {
-        let addr = self.workers[number].addr.to_string();
-        let headers =
-            HeaderMap::from_iter([(header::CONTENT_TYPE, HeaderValue::from_static("application/json"))]);
-        let body = Bytes::from(serde_json::to_vec(&mood).expect("JSON"));
-        let call = Fetch { headers, ..Fetch::post(&addr, "/mood", body, CALL_TIME) };
-        assert!(self.http.fetch(call).await.expect("a worker").status.is_success());
+        self.tell(self.workers[number].addr, Method::POST, "/mood", &mood).await;
     }
 }
 
--- a/components/wire/src/message.rs
+++ b/components/wire/src/message.rs
@@ -111,9 +111,6 @@
     /// True once the sender takes nothing new.
     #[prost(bool, tag = "6")]
     pub leaving: bool,
-    /// True once the sender has copied the claims of a majority.
-    #[prost(bool, tag = "7")]
-    pub synced: bool,
     /// Whom the sender has heard from lately; none if that has not changed.
     #[prost(message, optional, tag = "8")]
     pub heard: Option<Heard>,
