--- /dev/null
+++ b/components/relay/src/edge.rs
@@ -0,0 +1,131 @@
+//! What the daemon asks of the platform: a store with groups, operators' documents, and workers.
+
+use ::edge::Call;
+use shard::{JobSpec, Record, Report, StartOrder, StartReply, WorkerInfo};
+
+use crate::setup::Setup;
+
+/// Member's share of the partitions.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Share {
+    /// Rises with each change of the group.
+    pub generation: u64,
+    /// Partitions that belong to the member.
+    pub parts: Vec<u32>,
+}
+
+/// Answer to an append.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Appended {
+    /// Stored.
+    Stored,
+    /// A higher epoch was seen.
+    Fenced,
+    /// Another sequence number is expected.
+    Sequence(u64),
+    /// Nothing was stored; ask later.
+    Busy,
+}
+
+/// One partition's newest records.
+pub type Items = Vec<(String, Vec<u8>)>;
+
+/// What changed since a place in a topic.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Changes<T> {
+    /// Place to go on from.
+    pub next: u64,
+    /// `items` is everything there is, so what it lacks is gone.
+    pub whole: bool,
+    /// Changed entries by key; `None` is a removed one.
+    pub items: Vec<(String, Option<T>)>,
+}
+
+/// The platform's store.
+pub trait Store: Send + Sync + std::fmt::Debug {
+    /// Joins the group of daemons, or stays in it.
+    fn join<'a>(&'a self, member: &'a str, generation: u64) -> Call<'a, Share>;
+
+    /// Leaves the group.
+    fn leave<'a>(&'a self, member: &'a str) -> Call<'a, ()>;
+
+    /// Owner of each partition.
+    fn owners(&self) -> Call<'_, Vec<(u32, String)>>;
+
+    /// Appends records to a shard's partition, all or none.
+    fn append<'a>(&'a self, part: u32, epoch: u64, sequence: u64, records: &'a [Record])
+    -> Call<'a, Appended>;
+
+    /// Reads the newest record of each key of a shard's partition.
+    fn load(&self, part: u32) -> Call<'_, Items>;
+
+    /// Reads what operators changed, waiting for a change; `None` reads all.
+    fn operator(&self, from: Option<u64>) -> Call<'_, Changes<Document>>;
+
+    /// Reads which workers changed; `None` reads all.
+    fn workers(&self, from: Option<u64>) -> Call<'_, Changes<WorkerInfo>>;
+}
+
+/// A document that operators write.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Document {
+    /// Configuration, whole.
+    Setup(Setup),
+    /// An availability zone is taken out.
+    ZoneOut(String),
+    /// Machines are due for maintenance.
+    Wave(crate::setup::Wave),
+}
+
+/// Orders to workers.
+pub trait Orders: Send + Sync + std::fmt::Debug {
+    /// Starts a run.
+    fn start<'a>(&'a self, order: &'a StartOrder, fence: u64) -> Call<'a, StartReply>;
+
+    /// Stops a run or bars it; true once the worker has answered that.
+    fn stop<'a>(&'a self, worker: &'a str, addr: &'a str, run: (&'a str, u32), fence: u64) -> Call<'a, bool>;
+
+    /// Sets a run's speed.
+    fn pace<'a>(
+        &'a self,
+        worker: &'a str,
+        addr: &'a str,
+        run: (&'a str, u32),
+        percent: u32,
+        fence: u64,
+    ) -> Call<'a, ()>;
+
+    /// Looks at a worker, extends its lease and acknowledges its ends.
+    fn look<'a>(&'a self, look: Look<'a>) -> Call<'a, Looked>;
+}
+
+/// A look at a worker.
+#[derive(Clone, Copy, Debug)]
+pub struct Look<'a> {
+    /// Worker's id.
+    pub worker: &'a str,
+    /// Its address.
+    pub addr: &'a str,
+    /// Fencing token.
+    pub fence: u64,
+    /// New end of the lease on the worker's clock.
+    pub until: Option<u64>,
+    /// Ends up to this one are acknowledged.
+    pub seen: u64,
+    /// Milliseconds to wait for an end.
+    pub wait: u64,
+}
+
+/// Answer to a look.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Looked {
+    /// What runs and what has ended.
+    Report(Report),
+    /// A higher fencing token was seen.
+    Fenced,
+    /// Another life answers at the address.
+    OtherLife,
+}
+
+/// A job as a caller submits it, before the owner accepts it.
+pub type Draft = JobSpec;
--- /dev/null
+++ b/components/relay/src/lib.rs
@@ -0,0 +1,21 @@
+//! The daemon on every entry host.
+//!
+//! All daemons are alike. They divide the shards among themselves through a group at the platform's store;
+//! each shard has one owner at a time, fenced by the group's generation. A daemon that a caller reaches
+//! validates the call and passes it on to the shard's owner over the mesh of daemons.
+
+mod clock;
+pub mod edge;
+mod mesh;
+mod member;
+mod node;
+mod owner;
+mod reply;
+mod roster;
+mod setup;
+mod watch;
+
+pub use clock::{steady_ms, wall_ms};
+pub use member::TTL_MS;
+pub use node::{Node, Outcome, Parts};
+pub use setup::{Customer, Pool, Queue, Setup, Wave};
--- /dev/null
+++ b/components/relay/src/node.rs
@@ -0,0 +1,299 @@
+//! One daemon: its parts, and what callers may ask of it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use shard::{JobSpec, JobState, Limits};
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
+
+use crate::edge::{Orders, Store};
+use crate::member::{self, Standing};
+use crate::mesh::{self, Mesh, MeshFault};
+use crate::owner::{Owner, Surroundings};
+use crate::reply::{Kind, Reply, Want};
+use crate::roster::{self, Roster};
+use crate::setup::Setup;
+use crate::watch::{self as documents, Wishes};
+
+/// Pause between two tries to reach a shard's owner.
+const TRY_AGAIN: Duration = Duration::from_millis(60);
+/// Shortest pause between two reads of the owners.
+const OWNERS_EVERY: Duration = Duration::from_millis(250);
+/// Time for one try at another daemon, within a caller's time.
+const ONE_TRY: Duration = Duration::from_millis(700);
+
+/// Epochs in one generation of the group: a daemon may take the same shard over more than once in it.
+pub(crate) const EPOCHS: u64 = 64;
+
+/// What a daemon is made of.
+#[derive(Debug)]
+pub struct Parts {
+    /// Name, for logs.
+    pub name: String,
+    /// Address at which other daemons reach this one.
+    pub mesh: SocketAddr,
+    /// The platform's store.
+    pub store: Arc<dyn Store>,
+    /// Orders to workers.
+    pub orders: Arc<dyn Orders>,
+    /// Bounds.
+    pub limits: Limits,
+    /// Partitions of the shards' topic.
+    pub parts: u32,
+}
+
+/// Answer to a caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Done and stored.
+    Done,
+    /// Not done, and never will be.
+    Refused,
+    /// Unknown whether it was done.
+    Unsure,
+    /// No such job.
+    Unknown,
+    /// State of the job.
+    State(JobState),
+    /// Number of waiting jobs.
+    Count(u64),
+}
+
+/// A running daemon.
+#[derive(Debug)]
+pub struct Node {
+    parts: Parts,
+    mesh: Mesh,
+    owners: Mutex<HashMap<u32, SocketAddr>>,
+    owned: Mutex<HashMap<u32, Owner>>,
+    stale: Notify,
+    standing: watch::Receiver<Standing>,
+    wishes: watch::Receiver<Wishes>,
+    roster: watch::Receiver<Roster>,
+    stopping: watch::Sender<bool>,
+    draining: AtomicBool,
+    last_epoch: Mutex<u64>,
+}
+
+impl Node {
+    /// Starts all parts of a daemon.
+    #[must_use]
+    pub fn start(parts: Parts, listener: TcpListener) -> Arc<Self> {
+        let (standing_tx, standing) = watch::channel(Standing::default());
+        let (wishes_tx, wishes) = watch::channel(Wishes::default());
+        let (roster_tx, roster) = watch::channel(None);
+        let (stopping, stop) = watch::channel(false);
+        tokio::spawn(member::run(Arc::clone(&parts.store), parts.mesh.to_string(), standing_tx, stop));
+        tokio::spawn(documents::run(Arc::clone(&parts.store), wishes_tx));
+        tokio::spawn(roster::run(Arc::clone(&parts.store), roster_tx));
+        let node = Arc::new(Self {
+            parts,
+            mesh: Mesh::default(),
+            owners: Mutex::default(),
+            owned: Mutex::default(),
+            stale: Notify::new(),
+            standing,
+            wishes,
+            roster,
+            stopping,
+            draining: AtomicBool::new(false),
+            last_epoch: Mutex::default(),
+        });
+        tokio::spawn(Arc::clone(&node).keep_shards());
+        tokio::spawn(Arc::clone(&node).keep_owners());
+        let own = Arc::clone(&node);
+        tokio::spawn(mesh::serve(listener, move |part, want| {
+            let own = Arc::clone(&own);
+            async move { own.ask_here(part, want).await }
+        }));
+        node
+    }
+
+    /// Newest configuration, if one was read.
+    #[must_use]
+    pub fn setup(&self) -> Option<Arc<Setup>> {
+        self.wishes.borrow().setup.clone()
+    }
+
+    /// The balancer may send callers here.
+    #[must_use]
+    pub fn ready(&self) -> bool {
+        !self.draining.load(Ordering::Relaxed) && self.wishes.borrow().setup.is_some()
+    }
+
+    /// Hands over all shards and stops being ready; calls are answered on.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+        for owner in self.owned.lock().values() {
+            owner.stop();
+        }
+        self.stopping.send_replace(true);
+    }
+
+    /// Submits a job.
+    pub async fn submit(&self, spec: JobSpec, within: Duration) -> Outcome {
+        let service = spec.service.clone();
+        self.ask(&service, Want::Submit(spec), within).await
+    }
+
+    /// Cancels a job.
+    pub async fn cancel(&self, service: &str, id: &str, within: Duration) -> Outcome {
+        self.ask(service, Want::Cancel(id.to_owned()), within).await
+    }
+
+    /// Asks for a job's state.
+    pub async fn state(&self, service: &str, id: &str, within: Duration) -> Outcome {
+        self.ask(service, Want::State(id.to_owned()), within).await
+    }
+
+    /// Counts a queue's jobs that wait.
+    pub async fn waiting(&self, service: &str, queue: &str, within: Duration) -> Outcome {
+        self.ask(service, Want::Waiting(queue.to_owned()), within).await
+    }
+
+    /// Asks a shard's owner, wherever it is, until the time is over.
+    async fn ask(&self, service: &str, want: Want, within: Duration) -> Outcome {
+        let end = Instant::now() + within;
+        let mut sent = false;
+        loop {
+            let left = end.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return if sent { Outcome::Unsure } else { Outcome::Refused };
+            }
+            if let Some(part) = self.part(service) {
+                match self.ask_once(part, want.clone(), left).await {
+                    Ok(reply) => {
+                        if let Some(outcome) = outcome(&reply) {
+                            return outcome;
+                        }
+                        sent |= reply.kind() == Kind::Unsure;
+                    }
+                    Err(fault) => sent |= fault == MeshFault::NoAnswer,
+                }
+                self.stale.notify_one();
+            }
+            tokio::time::sleep(TRY_AGAIN.min(left)).await;
+        }
+    }
+
+    async fn ask_once(&self, part: u32, want: Want, left: Duration) -> Result<Reply, MeshFault> {
+        let owner = self.owners.lock().get(&part).copied();
+        let here = self.owned.lock().contains_key(&part);
+        if here || owner == Some(self.parts.mesh) {
+            let reply = tokio::time::timeout(left, self.ask_here(part, want)).await;
+            return reply.map_err(|_| MeshFault::NoAnswer);
+        }
+        let Some(addr) = owner else { return Err(MeshFault::NotSent) };
+        self.mesh.ask(addr, part, want, left.min(ONE_TRY)).await
+    }
+
+    async fn ask_here(&self, part: u32, want: Want) -> Reply {
+        let owner = self.owned.lock().get(&part).filter(|o| !o.ended()).cloned();
+        match owner {
+            Some(owner) => owner.ask(want).await,
+            None => Reply::of(Kind::NotOwner),
+        }
+    }
+
+    fn part(&self, service: &str) -> Option<u32> {
+        self.setup()?.parts(self.parts.parts).get(service).copied()
+    }
+
+    /// Starts and ends ownership as the group deals shards out.
+    async fn keep_shards(self: Arc<Self>) {
+        let mut standing = self.standing.clone();
+        let mut wishes = self.wishes.clone();
+        loop {
+            self.adjust(&standing.borrow_and_update().clone());
+            let again = tokio::time::sleep(OWNERS_EVERY);
+            tokio::select! {
+                changed = standing.changed() => if changed.is_err() { return },
+                changed = wishes.changed() => if changed.is_err() { return },
+                () = again => {}
+            }
+        }
+    }
+
+    fn adjust(&self, standing: &Standing) {
+        if self.draining.load(Ordering::Relaxed) {
+            return;
+        }
+        let Some(setup) = self.setup() else { return };
+        let active: Vec<u32> = setup.parts(self.parts.parts).into_values().collect();
+        let mut owned = self.owned.lock();
+        owned.retain(|_, owner| !owner.ended());
+        if !standing.sure() {
+            return;
+        }
+        for &part in standing.share.parts.iter().filter(|p| active.contains(p)) {
+            owned.entry(part).or_insert_with(|| {
+                let epoch = self.epoch(standing.share.generation);
+                tracing::info!(part, epoch, "node: shard is ours");
+                Owner::start(part, epoch, self.around())
+            });
+        }
+    }
+
+    /// A new epoch: above all of earlier generations, and above this daemon's earlier ones of the same.
+    fn epoch(&self, generation: u64) -> u64 {
+        let mut last = self.last_epoch.lock();
+        let epoch = (generation * EPOCHS).max(*last + 1);
+        *last = epoch;
+        epoch
+    }
+
+    fn around(&self) -> Surroundings {
+        Surroundings {
+            store: Arc::clone(&self.parts.store),
+            orders: Arc::clone(&self.parts.orders),
+            limits: self.parts.limits,
+            parts: self.parts.parts,
+            standing: self.standing.clone(),
+            roster: self.roster.clone(),
+            wishes: self.wishes.clone(),
+        }
+    }
+
+    /// Keeps the table of owners: read when the group changed, or when an owner could not be reached.
+    async fn keep_owners(self: Arc<Self>) {
+        let mut standing = self.standing.clone();
+        let mut generation = 0;
+        loop {
+            tokio::select! {
+                changed = standing.changed() => if changed.is_err() { return },
+                () = self.stale.notified() => generation = 0,
+            }
+            let newest = standing.borrow_and_update().share.generation;
+            if newest == generation {
+                continue;
+            }
+            match self.parts.store.owners().await {
+                Ok(rows) => {
+                    let table = rows.into_iter().filter_map(|(p, m)| Some((p, m.parse().ok()?))).collect();
+                    *self.owners.lock() = table;
+                    generation = newest;
+                }
+                Err(error) => tracing::debug!(%error, "node: owners not read"),
+            }
+            tokio::time::sleep(OWNERS_EVERY).await;
+        }
+    }
+}
+
+/// What a caller is told; `None` to try again.
+fn outcome(reply: &Reply) -> Option<Outcome> {
+    match reply.kind() {
+        Kind::Done => Some(Outcome::Done),
+        Kind::Refused => Some(Outcome::Refused),
+        Kind::Unknown => Some(Outcome::Unknown),
+        Kind::State => reply.as_state().map(Outcome::State),
+        Kind::Count => Some(Outcome::Count(reply.value)),
+        Kind::Unset | Kind::NotOwner | Kind::Unsure => None,
+    }
+}
--- /dev/null
+++ b/components/relay/src/owner.rs
@@ -0,0 +1,391 @@
+//! Runs one shard while this daemon owns it: feeds inputs to its state machine and carries out its actions.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use shard::{Action, Input, JobSpec, Limits, Record, Shard, StartReply, WorkerInfo};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::Instant;
+
+use crate::clock::{steady_ms, wall_ms};
+use crate::edge::{Appended, Look, Looked, Orders, Store};
+use crate::member::Standing;
+use crate::node::EPOCHS;
+use crate::reply::{Kind, Reply, Want};
+use crate::roster::Roster;
+use crate::watch::Wishes;
+
+/// Longest time between two steps without an input.
+const TICK: Duration = Duration::from_millis(50);
+/// Inputs that arrive within this time are taken in one step.
+const GATHER: Duration = Duration::from_millis(3);
+/// Pause before an append is sent again.
+const APPEND_AGAIN: Duration = Duration::from_millis(100);
+/// Tries of an append whose outcome is certain each time, before new jobs of the batch are refused.
+const BUSY_TRIES: u32 = 2;
+/// Requests and inputs that wait for one shard.
+const MAILBOX: usize = 8_192;
+
+/// What the owner of a shard is told.
+#[derive(Debug)]
+pub enum Letter {
+    /// A request of a caller.
+    Ask(Want, oneshot::Sender<Reply>),
+    /// An input of the state machine.
+    Input(Input),
+    /// End ownership.
+    Stop,
+}
+
+/// Way to a shard that this daemon owns.
+#[derive(Clone, Debug)]
+pub struct Owner {
+    /// Epoch under which it is owned.
+    pub epoch: u64,
+    letters: mpsc::Sender<Letter>,
+}
+
+/// What a shard's driver needs.
+#[derive(Clone, Debug)]
+pub struct Surroundings {
+    /// The platform's store.
+    pub store: Arc<dyn Store>,
+    /// Orders to workers.
+    pub orders: Arc<dyn Orders>,
+    /// Bounds.
+    pub limits: Limits,
+    /// Partitions.
+    pub parts: u32,
+    /// Ownership.
+    pub standing: watch::Receiver<Standing>,
+    /// Platform's list of workers.
+    pub roster: watch::Receiver<Roster>,
+    /// Operators' documents.
+    pub wishes: watch::Receiver<Wishes>,
+}
+
+impl Owner {
+    /// Starts to own a shard.
+    #[must_use]
+    pub fn start(part: u32, epoch: u64, around: Surroundings) -> Self {
+        let (letters, inbox) = mpsc::channel(MAILBOX);
+        let own = letters.clone();
+        tokio::spawn(async move {
+            let Some(shard) = take_over(part, epoch, &around).await else { return };
+            Driver::new(part, shard, around, own).run(inbox).await;
+        });
+        Self { epoch, letters }
+    }
+
+    /// The driver has ended.
+    #[must_use]
+    pub fn ended(&self) -> bool {
+        self.letters.is_closed()
+    }
+
+    /// Asks the shard.
+    pub async fn ask(&self, want: Want) -> Reply {
+        let (tx, rx) = oneshot::channel();
+        if self.letters.try_send(Letter::Ask(want, tx)).is_err() {
+            return Reply::of(Kind::NotOwner);
+        }
+        rx.await.unwrap_or(Reply::of(Kind::Unsure))
+    }
+
+    /// Ends ownership.
+    pub fn stop(&self) {
+        // A full mailbox belongs to a driver that ends by its standing.
+        drop(self.letters.try_send(Letter::Stop));
+    }
+}
+
+/// Fences earlier owners and loads the shard.
+async fn take_over(part: u32, epoch: u64, around: &Surroundings) -> Option<Shard> {
+    loop {
+        if !holds(&around.standing, part) {
+            return None;
+        }
+        match around.store.append(part, epoch, 0, &[]).await {
+            Ok(Appended::Stored | Appended::Sequence(_)) => break,
+            Ok(Appended::Fenced) => return None,
+            Ok(Appended::Busy) | Err(_) => tokio::time::sleep(APPEND_AGAIN).await,
+        }
+    }
+    loop {
+        if !holds(&around.standing, part) {
+            return None;
+        }
+        match around.store.load(part).await {
+            Ok(items) => {
+                let mut shard = Shard::new(around.limits, epoch, steady_ms(), wall_ms());
+                shard.load(items.iter().map(|(k, v)| (k.as_str(), v.as_slice())));
+                tracing::info!(part, epoch, records = items.len(), "owner: shard loaded");
+                return Some(shard);
+            }
+            Err(error) => {
+                tracing::warn!(part, %error, "owner: shard not loaded");
+                tokio::time::sleep(APPEND_AGAIN).await;
+            }
+        }
+    }
+}
+
+fn holds(standing: &watch::Receiver<Standing>, part: u32) -> bool {
+    standing.borrow().share.parts.contains(&part)
+}
+
+struct Driver {
+    part: u32,
+    shard: Shard,
+    around: Surroundings,
+    letters: mpsc::Sender<Letter>,
+    tickets: HashMap<u64, oneshot::Sender<Reply>>,
+    next_ticket: u64,
+    sequence: u64,
+    lapses: u64,
+}
+
+impl Driver {
+    fn new(part: u32, shard: Shard, around: Surroundings, letters: mpsc::Sender<Letter>) -> Self {
+        let lapses = around.standing.borrow().lapses;
+        Self { part, shard, around, letters, tickets: HashMap::new(), next_ticket: 0, sequence: 0, lapses }
+    }
+
+    async fn run(mut self, mut inbox: mpsc::Receiver<Letter>) {
+        let mut last = Instant::now();
+        self.learn_wishes();
+        self.learn_roster();
+        loop {
+            tokio::select! {
+                letter = inbox.recv() => match letter {
+                    Some(Letter::Stop) | None => break,
+                    Some(letter) => self.take(letter),
+                },
+                () = tokio::time::sleep_until(last + TICK) => {}
+                _ = self.around.wishes.changed() => self.learn_wishes(),
+                _ = self.around.roster.changed() => self.learn_roster(),
+            }
+            let due = last + GATHER;
+            if Instant::now() < due {
+                tokio::time::sleep_until(due).await;
+            }
+            last = Instant::now();
+            let mut stop = false;
+            while let Ok(letter) = inbox.try_recv() {
+                match letter {
+                    Letter::Stop => stop = true,
+                    letter => self.take(letter),
+                }
+            }
+            if stop || !self.still_owner() || !self.step() {
+                break;
+            }
+        }
+        tracing::info!(part = self.part, epoch = self.shard.epoch(), "owner: shard given up");
+    }
+
+    fn still_owner(&self) -> bool {
+        let standing = self.around.standing.borrow();
+        standing.share.parts.contains(&self.part)
+            && (standing.lapses == self.lapses || standing.share.generation == self.shard.epoch() / EPOCHS)
+    }
+
+    fn step(&mut self) -> bool {
+        let sure = self.around.standing.borrow().sure() && self.around.roster.borrow().is_some();
+        for action in self.shard.step(steady_ms(), wall_ms(), sure) {
+            if action == Action::Lost {
+                return false;
+            }
+            self.act(action);
+        }
+        true
+    }
+
+    fn take(&mut self, letter: Letter) {
+        match letter {
+            Letter::Ask(want, reply) => self.asked(want, reply),
+            Letter::Input(input) => self.input(input),
+            Letter::Stop => {}
+        }
+    }
+
+    fn input(&mut self, input: Input) {
+        if matches!(input, Input::Stored) {
+            self.sequence += 1;
+        }
+        self.shard.apply(steady_ms(), wall_ms(), input);
+    }
+
+    fn asked(&mut self, want: Want, reply: oneshot::Sender<Reply>) {
+        let answer = match want {
+            Want::Submit(spec) => return self.submit(spec, reply),
+            Want::Cancel(id) => {
+                let ticket = self.ticket(reply);
+                return self.input(Input::Cancel { ticket, id });
+            }
+            Want::State(id) => self.shard.state(&id).map_or(Reply::of(Kind::Unknown), Reply::state),
+            Want::Waiting(queue) => Reply::count(self.shard.waiting(&queue)),
+        };
+        // The caller may have gone.
+        drop(reply.send(answer));
+    }
+
+    fn submit(&mut self, spec: JobSpec, reply: oneshot::Sender<Reply>) {
+        let ticket = self.ticket(reply);
+        self.input(Input::Submit { ticket, spec });
+    }
+
+    fn ticket(&mut self, reply: oneshot::Sender<Reply>) -> u64 {
+        self.next_ticket += 1;
+        self.tickets.insert(self.next_ticket, reply);
+        self.next_ticket
+    }
+
+    fn answer(&mut self, ticket: u64, kind: Kind) {
+        if let Some(reply) = self.tickets.remove(&ticket) {
+            // The caller may have gone.
+            drop(reply.send(Reply::of(kind)));
+        }
+    }
+
+    fn learn_wishes(&mut self) {
+        let wishes = self.around.wishes.borrow_and_update().clone();
+        self.input(Input::ZonesOut(wishes.zones_out));
+        let Some(setup) = wishes.setup else { return };
+        let shards = u64::try_from(setup.parts(self.around.parts).len()).unwrap_or(1).max(1);
+        let allowed = setup.customers.iter().map(|c| (c.name.clone(), split(&c.limit, shards))).collect();
+        self.input(Input::Allowed(allowed));
+    }
+
+    fn learn_roster(&mut self) {
+        let roster = self.around.roster.borrow_and_update().clone();
+        let setup = self.around.wishes.borrow().setup.clone();
+        let (Some(roster), Some(setup)) = (roster, setup) else { return };
+        let parts = setup.parts(self.around.parts);
+        let mine = |w: &&WorkerInfo| parts.get(&w.service) == Some(&self.part);
+        let list = roster.values().filter(mine).cloned().collect();
+        self.input(Input::Roster(list));
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Append(records) => self.append(records),
+            Action::Accepted(ticket) | Action::Cancelled(ticket) => self.answer(ticket, Kind::Done),
+            Action::Refused(ticket) => self.answer(ticket, Kind::Refused),
+            Action::Unknown(ticket) => self.answer(ticket, Kind::Unknown),
+            Action::Start(order) => self.start(order),
+            Action::Stop { worker, addr, name, run } => self.stop(worker, addr, name, run),
+            Action::Pace { worker, addr, name, run, percent } => {
+                let (orders, fence) = (Arc::clone(&self.around.orders), self.shard.epoch());
+                tokio::spawn(async move {
+                    let task = name.to_string();
+                    if let Err(error) = orders.pace(&worker, &addr, (&task, run), percent, fence).await {
+                        tracing::info!(%worker, %task, run, %error, "owner: pace not answered");
+                    }
+                });
+            }
+            Action::Look { worker, addr, until, seen, wait } => self.look(worker, addr, until, seen, wait),
+            Action::Lost => {}
+        }
+    }
+
+    fn start(&self, order: shard::StartOrder) {
+        let (orders, fence, letters) =
+            (Arc::clone(&self.around.orders), self.shard.epoch(), self.letters.clone());
+        tokio::spawn(async move {
+            let reply = match orders.start(&order, fence).await {
+                Ok(reply) => reply,
+                Err(fault) if fault.verdict == ::edge::Verdict::NotRun => StartReply::NotSent,
+                Err(_) => StartReply::NoAnswer,
+            };
+            tracing::debug!(task = %order.name, run = order.run, worker = %order.worker, ?reply, "owner: start");
+            let input = Input::Started { worker: order.worker, name: order.name, run: order.run, reply };
+            tell(&letters, input).await;
+        });
+    }
+
+    fn stop(&self, worker: String, addr: String, name: shard::RunName, run: u32) {
+        let (orders, fence, letters) =
+            (Arc::clone(&self.around.orders), self.shard.epoch(), self.letters.clone());
+        tokio::spawn(async move {
+            let task = name.to_string();
+            match orders.stop(&worker, &addr, (&task, run), fence).await {
+                Ok(true) => tell(&letters, Input::Stopped { worker, name, run }).await,
+                Ok(false) => tracing::info!(%worker, %task, run, "owner: stop refused"),
+                Err(error) => tracing::info!(%worker, %task, run, %error, "owner: stop not answered"),
+            }
+        });
+    }
+
+    fn look(&self, worker: String, addr: String, until: Option<u64>, seen: u64, wait: u64) {
+        let (orders, fence, letters) =
+            (Arc::clone(&self.around.orders), self.shard.epoch(), self.letters.clone());
+        tokio::spawn(async move {
+            let sent = steady_ms();
+            let look = Look { worker: &worker, addr: &addr, fence, until, seen, wait };
+            let input = match orders.look(look).await {
+                Ok(Looked::Report(report)) => Input::Looked { worker, sent, report },
+                Ok(Looked::Fenced) => Input::LookFailed { worker, other: false, fenced: true },
+                Ok(Looked::OtherLife) => Input::LookFailed { worker, other: true, fenced: false },
+                Err(error) => {
+                    tracing::debug!(%worker, %error, "owner: look not answered");
+                    Input::LookFailed { worker, other: false, fenced: false }
+                }
+            };
+            tell(&letters, input).await;
+        });
+    }
+
+    /// Sends a batch until its outcome is certain.
+    fn append(&mut self, records: Vec<Record>) {
+        let sequence = self.sequence + 1;
+        let (store, letters) = (Arc::clone(&self.around.store), self.letters.clone());
+        let (part, epoch) = (self.part, self.shard.epoch());
+        tokio::spawn(async move {
+            let mut certain = true;
+            let mut tries = 0;
+            let input = loop {
+                match store.append(part, epoch, sequence, &records).await {
+                    Ok(Appended::Stored) => break Some(Input::Stored),
+                    Ok(Appended::Fenced | Appended::Sequence(_)) => break None,
+                    Ok(Appended::Busy) => {
+                        tries += 1;
+                        if certain && tries >= BUSY_TRIES {
+                            break Some(Input::NotStored);
+                        }
+                    }
+                    Err(fault) => {
+                        certain &= fault.verdict == ::edge::Verdict::NotRun;
+                        tries += 1;
+                        if certain && tries >= BUSY_TRIES {
+                            break Some(Input::NotStored);
+                        }
+                    }
+                }
+                tokio::time::sleep(APPEND_AGAIN).await;
+                if letters.is_closed() {
+                    return;
+                }
+            };
+            match input {
+                Some(input) => tell(&letters, input).await,
+                None => {
+                    tracing::warn!(part, epoch, "owner: fenced at the log");
+                    drop(letters.send(Letter::Stop).await);
+                }
+            }
+        });
+    }
+}
+
+/// Part of a limit; 0 stays no limit.
+fn split(limit: &shard::Res, shards: u64) -> shard::Res {
+    let part = |v: u64| if v == 0 { 0 } else { (v / shards).max(1) };
+    shard::Res { cpu: part(limit.cpu), mem: part(limit.mem), gpu: part(limit.gpu) }
+}
+
+async fn tell(letters: &mpsc::Sender<Letter>, input: Input) {
+    // The driver may have ended.
+    drop(letters.send(Letter::Input(input)).await);
+}
--- /dev/null
+++ b/components/relay/src/roster.rs
@@ -0,0 +1,77 @@
+//! The platform's list of workers, read at intervals.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use shard::WorkerInfo;
+use tokio::sync::watch;
+
+use crate::clock::steady_ms;
+use crate::edge::Store;
+
+/// Pause between reads; a fifth of the time in which a leaving worker has to be noticed.
+const EVERY: Duration = Duration::from_millis(400);
+/// Time after its entry is gone at which a worker counts as gone: entries that lapse while the store is away
+/// are back within two seconds of its return.
+const GRACE_MS: u64 = 2_500;
+
+/// Workers by id; `None` until the list was read once.
+pub type Roster = Option<Arc<HashMap<String, WorkerInfo>>>;
+
+/// Reads the list until the process ends.
+pub async fn run(store: Arc<dyn Store>, roster: watch::Sender<Roster>) {
+    let mut table: HashMap<String, WorkerInfo> = HashMap::new();
+    let mut leaving: HashMap<String, u64> = HashMap::new();
+    let mut next = None;
+    let mut down = false;
+    loop {
+        match store.workers(next).await {
+            Ok(changes) => {
+                if down {
+                    tracing::info!("roster: list is back");
+                }
+                down = false;
+                let before = table.clone();
+                if changes.whole {
+                    let listed: Vec<&String> = changes.items.iter().map(|(k, _)| k).collect();
+                    let now = steady_ms();
+                    for id in table.keys().filter(|id| !listed.contains(id)) {
+                        leaving.entry(id.clone()).or_insert(now);
+                    }
+                }
+                for (id, entry) in changes.items {
+                    match entry {
+                        Some(info) => {
+                            leaving.remove(&id);
+                            table.insert(id, info);
+                        }
+                        None => {
+                            leaving.entry(id).or_insert_with(steady_ms);
+                        }
+                    }
+                }
+                let now = steady_ms();
+                leaving.retain(|id, since| {
+                    let stays = now < *since + GRACE_MS;
+                    if !stays {
+                        tracing::info!(worker = %id, "roster: worker is gone");
+                        table.remove(id);
+                    }
+                    stays
+                });
+                if next.is_none() || table != before {
+                    roster.send_replace(Some(Arc::new(table.clone())));
+                }
+                next = Some(changes.next);
+            }
+            Err(error) => {
+                if !down {
+                    tracing::warn!(%error, "roster: list lost");
+                }
+                down = true;
+            }
+        }
+        tokio::time::sleep(EVERY).await;
+    }
+}
--- /dev/null
+++ b/components/relay/src/setup.rs
@@ -0,0 +1,141 @@
+//! Configuration as operators publish it, in the product's terms.
+
+use std::collections::{HashMap, HashSet};
+use std::hash::{Hash, Hasher};
+
+use shard::Res;
+
+/// A queue: where callers submit jobs.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Queue {
+    /// Name.
+    pub name: String,
+    /// Host that callers name.
+    pub host: String,
+    /// Path before a job's id.
+    pub prefix: String,
+    /// Service whose workers run its jobs.
+    pub service: String,
+    /// 0 comes first.
+    pub priority: u32,
+    /// Failed runs after which a task fails for good.
+    pub attempts: u32,
+    /// Objective: times the longest chain of work.
+    pub stretch: f64,
+    /// Objective: milliseconds more.
+    pub target: u64,
+    /// Open to callers without a key.
+    pub open: bool,
+}
+
+/// A service: a pool of workers.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Pool {
+    /// Name.
+    pub name: String,
+    /// Its machines are off.
+    pub spare: bool,
+}
+
+/// A customer.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Customer {
+    /// Name.
+    pub name: String,
+    /// Keys that show it.
+    pub keys: Vec<String>,
+    /// Share when all is full.
+    pub weight: u64,
+    /// Most it may have running; 0 means no limit.
+    pub limit: Res,
+}
+
+/// One version of the configuration.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Setup {
+    /// Rises with each change.
+    pub version: u64,
+    /// Queues.
+    pub queues: Vec<Queue>,
+    /// Services.
+    pub pools: Vec<Pool>,
+    /// Customers.
+    pub customers: Vec<Customer>,
+    /// Largest request head in bytes.
+    pub head_bytes: usize,
+    /// Largest request body in bytes.
+    pub body_bytes: usize,
+    /// Milliseconds in which a head has to arrive.
+    pub head_ms: u64,
+}
+
+/// Machines due for maintenance.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Wave {
+    /// Number.
+    pub number: u64,
+    /// Machines.
+    pub machines: Vec<String>,
+    /// Seconds in which it should be complete.
+    pub seconds: u64,
+    /// Most machines down at once.
+    pub at_once: u32,
+}
+
+impl Setup {
+    /// The queue with the longest prefix of a path, and the rest of the path.
+    #[must_use]
+    pub fn queue<'a>(&self, host: &str, path: &'a str) -> Option<(&Queue, &'a str)> {
+        let fits = |q: &&Queue| q.host.eq_ignore_ascii_case(host) && path.starts_with(&q.prefix);
+        let queue = self.queues.iter().filter(fits).max_by_key(|q| q.prefix.len())?;
+        Some((queue, &path[queue.prefix.len()..]))
+    }
+
+    /// The customer that a key shows.
+    #[must_use]
+    pub fn customer(&self, key: &str) -> Option<&Customer> {
+        self.customers.iter().find(|c| c.keys.iter().any(|k| k == key))
+    }
+
+    /// Partition of each service. A service keeps its partition while the services before it in the
+    /// alphabet stay.
+    #[must_use]
+    pub fn parts(&self, count: u32) -> HashMap<String, u32> {
+        let mut names: Vec<&str> = self.pools.iter().map(|p| p.name.as_str()).collect();
+        names.extend(self.queues.iter().map(|q| q.service.as_str()));
+        names.sort_unstable();
+        names.dedup();
+        let mut taken: HashSet<u32> = HashSet::new();
+        let mut table = HashMap::new();
+        for name in names {
+            let mut part = home(name, count);
+            while taken.contains(&part) && taken.len() < count as usize {
+                part = (part + 1) % count;
+            }
+            taken.insert(part);
+            table.insert(name.to_owned(), part);
+        }
+        table
+    }
+}
+
+fn home(name: &str, count: u32) -> u32 {
+    // The same on every host and build, unlike the map's hasher.
+    let mut hasher = Fnv(0xcbf2_9ce4_8422_2325);
+    name.hash(&mut hasher);
+    u32::try_from(hasher.finish() % u64::from(count.max(1))).unwrap_or(0)
+}
+
+struct Fnv(u64);
+
+impl Hasher for Fnv {
+    fn finish(&self) -> u64 {
+        self.0
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.0 = (self.0 ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3);
+        }
+    }
+}
--- /dev/null
+++ b/components/shard/src/cancel.rs
@@ -0,0 +1,78 @@
+//! Cancellations, and the stops of runs that are not wanted any more.
+
+use crate::job::TaskRef;
+use crate::machine::{Action, Shard};
+use crate::model::Verdict;
+use crate::worker::{Contact, RunPhase};
+
+impl Shard {
+    pub(crate) fn cancel(&mut self, ticket: u64, id: &str) {
+        let Some(&key) = self.ids.get(id) else {
+            self.actions.push(Action::Unknown(ticket));
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        if job.stored && job.shown != Verdict::Open {
+            self.actions.push(Action::Cancelled(ticket));
+            return;
+        }
+        job.cancels.push(ticket);
+        self.dirty.insert(key);
+        self.close(key, Verdict::Cancelled);
+    }
+
+    /// Sends stops for runs that are not wanted, and for starts whose answer is lost.
+    pub(crate) fn send_stops(&mut self) {
+        let mut stops: Vec<(usize, TaskRef)> = Vec::new();
+        for (key, worker) in self.workers.iter().enumerate() {
+            if worker.gone || worker.contact == Contact::Unknown {
+                continue;
+            }
+            for (task, run) in &worker.runs {
+                if self.unwanted(task, run.phase) && self.now >= run.stop_sent + self.limits.stop_again {
+                    stops.push((key, *task));
+                }
+            }
+        }
+        let now = self.now;
+        for (key, task) in stops {
+            let Some(name) = self.run_name(&task) else { continue };
+            let worker = &mut self.workers[key];
+            let Some(run) = worker.runs.get_mut(&task) else { continue };
+            run.stop_sent = now;
+            self.actions.push(Action::Stop {
+                worker: worker.info.id.clone(),
+                addr: worker.info.addr.clone(),
+                name,
+                run: run.number,
+            });
+        }
+        self.stop_strangers();
+    }
+
+    fn unwanted(&self, task: &TaskRef, phase: RunPhase) -> bool {
+        match phase {
+            RunPhase::Stopping | RunPhase::Unclear => true,
+            RunPhase::Stopped(_) | RunPhase::Sent => false,
+            RunPhase::Running(_) => {
+                let job = self.jobs.get(&task.at.job);
+                job.is_none_or(|j| j.verdict != Verdict::Open && j.shown == j.verdict)
+            }
+        }
+    }
+
+    fn stop_strangers(&mut self) {
+        for worker in &mut self.workers {
+            for (name, run) in std::mem::take(&mut worker.strangers) {
+                self.actions.push(Action::Stop {
+                    worker: worker.info.id.clone(),
+                    addr: worker.info.addr.clone(),
+                    name: name.clone(),
+                    run,
+                });
+                // Kept until a look does not list it any more.
+                worker.rest_until = worker.rest_until.max(self.now + self.limits.stop_again);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/shard/src/health.rs
@@ -0,0 +1,80 @@
+//! Workers that do badly: unreachable, refusing, failing everything, standing still.
+
+use crate::Ms;
+use crate::job::TaskRef;
+use crate::machine::{Shard, StartReply};
+use crate::worker::{Contact, RunPhase, WorkerKey};
+
+/// Pause before an unanswered look is sent again, in milliseconds.
+pub(crate) const RETRY: Ms = 250;
+/// Failed runs in a row, each the first of its task, that speak against a worker.
+const STRIKES: u32 = 3;
+/// Pause before such a worker gets work again, in milliseconds.
+const REST: Ms = 4_000;
+/// Pause after a worker refused a start.
+const REFUSED_REST: Ms = 300;
+/// A run whose percentage has not risen for this long stands still.
+const STALL: Ms = 2_500;
+
+impl Shard {
+    pub(crate) fn strike(&mut self, key: WorkerKey, count: u32) {
+        let now = self.now;
+        let worker = &mut self.workers[key as usize];
+        worker.strikes += count;
+        if worker.strikes >= STRIKES {
+            worker.rest_until = now + REST;
+            // One more failure after the rest is enough.
+            worker.strikes = STRIKES - 1;
+            tracing::info!(worker = %worker.info.id, rest = REST, "shard: worker fails what it starts");
+        }
+    }
+
+    pub(crate) fn rest(&mut self, key: WorkerKey, reply: StartReply) {
+        let now = self.now;
+        let worker = &mut self.workers[key as usize];
+        tracing::debug!(worker = %worker.info.id, ?reply, "shard: start refused");
+        if reply == StartReply::NotSent {
+            worker.contact = Contact::Bad;
+        }
+        worker.rest_until = worker.rest_until.max(now + REFUSED_REST);
+    }
+
+    /// Runs whose lease has surely lapsed are over.
+    pub(crate) fn lapse(&mut self) {
+        for key in 0..u32::try_from(self.workers.len()).unwrap_or(u32::MAX) {
+            let worker = &self.workers[key as usize];
+            let silent = worker.contact != Contact::Good || worker.holding;
+            if worker.runs.is_empty() || !silent || worker.lease_end == 0 || self.now < worker.lease_end {
+                continue;
+            }
+            self.drop_runs(key, "lease lapsed");
+            let worker = &mut self.workers[key as usize];
+            worker.contact = Contact::Bad;
+            worker.clock = None;
+        }
+        self.drop_unlisted();
+    }
+
+    /// Stops runs that stand still, to start them elsewhere.
+    pub(crate) fn spot_stalls(&mut self, key: WorkerKey) {
+        let now = self.now;
+        let worker = &mut self.workers[key as usize];
+        let stalled: Vec<TaskRef> = worker
+            .runs
+            .iter()
+            .filter(|(_, r)| !r.lasting && !r.filler && matches!(r.phase, RunPhase::Running(_)))
+            .filter(|(_, r)| r.percent < 100 && now >= r.moved + STALL)
+            .map(|(t, _)| *t)
+            .collect();
+        for task in &stalled {
+            if let Some(run) = worker.runs.get_mut(task) {
+                run.phase = RunPhase::Stopping;
+                run.stalled = true;
+                tracing::info!(worker = %worker.info.id, ?task, percent = run.percent, "shard: run stands still");
+            }
+        }
+        if !stalled.is_empty() {
+            self.strike(key, STRIKES);
+        }
+    }
+}
--- /dev/null
+++ b/components/shard/src/intake.rs
@@ -0,0 +1,172 @@
+//! Acceptance of jobs, their occurrences, and the list of workers.
+
+use crate::job::{Job, JobKey, Stage, StepRef, Turn};
+use crate::machine::{Action, Shard};
+use crate::model::{JobSpec, Verdict};
+use crate::record;
+use crate::worker::{Worker, WorkerInfo, WorkerKey};
+
+/// Times of a repeating job are opened this long before they are due, in milliseconds.
+const OPEN_AHEAD: u64 = 0;
+
+impl Shard {
+    pub(crate) fn submit(&mut self, ticket: u64, mut spec: JobSpec) {
+        if let Some(job) = self.ids.get(&spec.id).and_then(|k| self.jobs.get_mut(k)) {
+            if job.stored {
+                self.actions.push(Action::Accepted(ticket));
+            } else {
+                job.submits.push(ticket);
+            }
+            return;
+        }
+        spec.epoch = self.epoch;
+        spec.accepted = self.wall;
+        let key = self.add_job(spec, self.now);
+        if let Some(job) = self.jobs.get_mut(&key) {
+            job.submits.push(ticket);
+        }
+        self.dirty.insert(key);
+    }
+
+    pub(crate) fn add_job(&mut self, spec: JobSpec, since: u64) -> JobKey {
+        let key = self.next_job;
+        self.next_job += 1;
+        self.ids.insert(spec.id.clone(), key);
+        self.jobs.insert(key, Job::new(spec, since));
+        key
+    }
+
+    /// A job's newest state is stored.
+    pub(crate) fn job_stored(&mut self, key: JobKey) {
+        let dirty = self.dirty.contains(&key);
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        let new = !job.stored;
+        job.stored = true;
+        if !dirty {
+            job.shown = job.verdict;
+        }
+        for ticket in job.submits.drain(..) {
+            self.actions.push(Action::Accepted(ticket));
+        }
+        if new {
+            tracing::info!(job = %job.spec.id, queue = %job.spec.queue, tenant = %job.spec.tenant, "shard: job accepted");
+            if job.verdict == Verdict::Open {
+                self.open_job(key, Stage::Waiting);
+            } else {
+                self.dirty.insert(key);
+            }
+        }
+    }
+
+    /// A new job is not stored.
+    pub(crate) fn refuse(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.remove(&key) else { return };
+        self.ids.remove(&job.spec.id);
+        self.dirty.remove(&key);
+        tracing::info!(job = %job.spec.id, "shard: job refused, the log did not take it");
+        self.actions.extend(job.submits.into_iter().map(Action::Refused));
+        self.actions.extend(job.cancels.into_iter().map(Action::Unknown));
+    }
+
+    /// Opens the first occurrence of a job without times.
+    pub(crate) fn open_job(&mut self, key: JobKey, first: Stage) {
+        let Some(job) = self.jobs.get(&key) else { return };
+        if job.spec.repeat.is_none() && job.complete.is_empty() {
+            self.open_turn(key, 0, first);
+        }
+    }
+
+    pub(crate) fn open_turn(&mut self, key: JobKey, number: u32, first: Stage) {
+        let now = self.now;
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        if job.turn(number).is_some() || job.complete.contains(&number) {
+            return;
+        }
+        let turn = Turn::new(&job.spec, number, now, first);
+        let steps = u32::try_from(turn.steps.len()).unwrap_or(0);
+        let open: Vec<u32> = (0..steps).filter(|&s| turn.released(&job.spec, s)).collect();
+        job.turns.push(turn);
+        self.ready.extend(open.into_iter().map(|step| StepRef { job: key, turn: number, step }));
+    }
+
+    /// Opens occurrences whose time has come.
+    pub(crate) fn open_turns(&mut self) {
+        let wall = self.wall;
+        let mut due: Vec<(JobKey, u32)> = Vec::new();
+        for (&key, job) in &self.jobs {
+            let Some(repeat) = job.spec.repeat else { continue };
+            if !job.stored || job.verdict != Verdict::Open {
+                continue;
+            }
+            let next = job.turns.iter().map(|t| t.number + 1).chain(job.complete.iter().map(|n| n + 1));
+            let mut number = next.max().unwrap_or(0);
+            while number < repeat.times && repeat.first + u64::from(number) * repeat.every <= wall + OPEN_AHEAD {
+                due.push((key, number));
+                number += 1;
+            }
+        }
+        for (key, number) in due {
+            self.open_turn(key, number, Stage::Waiting);
+        }
+    }
+
+    /// Takes the platform's list of workers.
+    pub(crate) fn list(&mut self, list: Vec<WorkerInfo>) {
+        for worker in &mut self.workers {
+            worker.listed = false;
+        }
+        for info in list {
+            if let Some(key) = self.worker_key(&info.id) {
+                let worker = &mut self.workers[key as usize];
+                worker.listed = true;
+                worker.gone = worker.gone && worker.info.addr == info.addr;
+                worker.info = info;
+                continue;
+            }
+            self.add_worker(info);
+        }
+    }
+
+    pub(crate) fn add_worker(&mut self, info: WorkerInfo) -> WorkerKey {
+        let key = WorkerKey::try_from(self.workers.len()).unwrap_or(WorkerKey::MAX);
+        tracing::info!(worker = %info.id, service = %info.service, zone = %info.zone, "shard: worker found");
+        self.outbox.push(record::worker(&info.id, &info.addr));
+        self.worker_ids.insert(info.id.clone(), key);
+        self.workers.push(Worker::new(info, self.now));
+        key
+    }
+
+    /// Forgets workers that the platform does not list any more, once nothing can run there.
+    pub(crate) fn drop_unlisted(&mut self) {
+        for key in 0..self.workers.len() {
+            let worker = &self.workers[key];
+            if worker.listed || worker.gone || !worker.runs.is_empty() || self.now < worker.lease_end {
+                continue;
+            }
+            if matches!(self.phase, crate::Phase::TakingOver(_)) {
+                continue;
+            }
+            let worker = &mut self.workers[key];
+            worker.gone = true;
+            self.outbox.push(record::no_worker(&worker.info.id));
+        }
+    }
+
+    /// Drops jobs that ended long ago.
+    pub(crate) fn forget_old(&mut self) {
+        let old = self.wall.saturating_sub(self.limits.keep);
+        let gone: Vec<JobKey> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.shown != Verdict::Open && j.ended < old)
+            .map(|(&k, _)| k)
+            .filter(|k| !self.workers.iter().any(|w| w.runs.keys().any(|t| t.at.job == *k)))
+            .collect();
+        for key in gone {
+            let Some(job) = self.jobs.remove(&key) else { continue };
+            self.ids.remove(&job.spec.id);
+            self.dirty.remove(&key);
+            self.outbox.extend(record::forgotten(&job.spec.id));
+        }
+    }
+}
--- /dev/null
+++ b/components/shard/src/job.rs
@@ -0,0 +1,227 @@
+//! Tables of jobs, occurrences, steps and tasks.
+
+use crate::Ms;
+use crate::model::{JobSpec, Verdict};
+use crate::record::{Failures, Progress, StepProgress, TurnProgress};
+use crate::worker::WorkerKey;
+
+pub(crate) type JobKey = u32;
+
+/// Names a step of an occurrence.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub(crate) struct StepRef {
+    pub job: JobKey,
+    pub turn: u32,
+    pub step: u32,
+}
+
+/// Names a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub(crate) struct TaskRef {
+    pub at: StepRef,
+    pub index: u32,
+}
+
+/// Where a task stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Stage {
+    /// May run somewhere under an earlier owner; not to be started until that is known.
+    Doubt,
+    /// Can be started.
+    Waiting,
+    /// Started, or being started, on a worker.
+    Placed(WorkerKey),
+    /// Done.
+    Done,
+}
+
+#[derive(Debug)]
+pub(crate) struct Task {
+    pub stage: Stage,
+    /// Highest run number used.
+    pub run: u32,
+    pub failures: u32,
+    /// Highest run that counted as failed.
+    pub failed_run: u32,
+    /// Newest checkpoint; empty if none.
+    pub saved: String,
+    /// Workers where a run of it failed or stood still.
+    pub avoid: Vec<WorkerKey>,
+    /// Not to be started before.
+    pub not_before: Ms,
+}
+
+#[derive(Debug)]
+pub(crate) struct Step {
+    pub tasks: Vec<Task>,
+    pub done: u32,
+    pub waiting: u32,
+}
+
+#[derive(Debug)]
+pub(crate) struct Turn {
+    pub number: u32,
+    pub steps: Vec<Step>,
+    /// Steady clock at which it may start.
+    pub due: Ms,
+    pub started: bool,
+}
+
+#[derive(Debug)]
+pub(crate) struct Job {
+    pub spec: JobSpec,
+    pub turns: Vec<Turn>,
+    /// Occurrences that are complete, by number.
+    pub complete: Vec<u32>,
+    pub verdict: Verdict,
+    /// Verdict that the log has stored; only this is shown.
+    pub shown: Verdict,
+    /// The log has stored the job.
+    pub stored: bool,
+    /// Wall clock of its end.
+    pub ended: u64,
+    /// Steady clock of acceptance.
+    pub since: Ms,
+    pub started: bool,
+    /// Callers that wait until the job is stored.
+    pub submits: Vec<u64>,
+    /// Callers that wait until the cancellation is stored.
+    pub cancels: Vec<u64>,
+}
+
+impl Job {
+    pub fn new(spec: JobSpec, since: Ms) -> Self {
+        Self {
+            spec,
+            turns: Vec::new(),
+            complete: Vec::new(),
+            verdict: Verdict::Open,
+            shown: Verdict::Open,
+            stored: false,
+            ended: 0,
+            since,
+            started: false,
+            submits: Vec::new(),
+            cancels: Vec::new(),
+        }
+    }
+
+    pub fn turn(&self, number: u32) -> Option<&Turn> {
+        self.turns.iter().find(|t| t.number == number)
+    }
+
+    pub fn turn_mut(&mut self, number: u32) -> Option<&mut Turn> {
+        self.turns.iter_mut().find(|t| t.number == number)
+    }
+
+    /// Number of occurrences.
+    pub fn times(&self) -> u32 {
+        self.spec.repeat.map_or(1, |r| r.times)
+    }
+
+    /// Longest chain of estimated work in milliseconds.
+    pub fn chain(&self) -> u64 {
+        let mut ends: Vec<u64> = Vec::with_capacity(self.spec.steps.len());
+        for step in &self.spec.steps {
+            let from = step.after.iter().filter_map(|&a| ends.get(a as usize)).max().copied().unwrap_or(0);
+            ends.push(from + step.estimate);
+        }
+        ends.into_iter().max().unwrap_or(0)
+    }
+
+    /// Stored form of what is done.
+    pub fn progress(&self) -> Progress {
+        let mut turns: Vec<TurnProgress> = self
+            .complete
+            .iter()
+            .map(|&turn| TurnProgress { turn, complete: true, steps: Vec::new() })
+            .collect();
+        if self.verdict == Verdict::Open {
+            turns.extend(self.turns.iter().map(Turn::progress));
+        }
+        Progress { verdict: self.verdict as i32, ended: self.ended, turns }
+    }
+}
+
+impl Turn {
+    pub fn new(spec: &JobSpec, number: u32, due: Ms, first: Stage) -> Self {
+        let steps = spec.steps.iter().map(|s| Step::new(s.count, first)).collect();
+        Self { number, steps, due, started: false }
+    }
+
+    /// All steps that `step` comes after are done.
+    pub fn released(&self, spec: &JobSpec, step: u32) -> bool {
+        let after = spec.steps.get(step as usize).map_or(&[][..], |s| &s.after);
+        after.iter().all(|&a| self.steps.get(a as usize).is_none_or(Step::complete))
+    }
+
+    pub fn complete(&self) -> bool {
+        self.steps.iter().all(Step::complete)
+    }
+
+    fn progress(&self) -> TurnProgress {
+        let steps = self.steps.iter().map(Step::progress).collect();
+        TurnProgress { turn: self.number, complete: false, steps }
+    }
+}
+
+impl Step {
+    fn new(count: u32, first: Stage) -> Self {
+        let task = || Task {
+            stage: first,
+            run: 0,
+            failures: 0,
+            failed_run: 0,
+            saved: String::new(),
+            avoid: Vec::new(),
+            not_before: 0,
+        };
+        let waiting = if first == Stage::Waiting { count } else { 0 };
+        Self { tasks: (0..count).map(|_| task()).collect(), done: 0, waiting }
+    }
+
+    pub fn complete(&self) -> bool {
+        self.done as usize == self.tasks.len()
+    }
+
+    /// Changes a task's stage and keeps the counts.
+    pub fn set(&mut self, index: u32, stage: Stage) {
+        let Some(task) = self.tasks.get_mut(index as usize) else { return };
+        self.waiting -= u32::from(task.stage == Stage::Waiting);
+        self.done -= u32::from(task.stage == Stage::Done);
+        task.stage = stage;
+        self.waiting += u32::from(stage == Stage::Waiting);
+        self.done += u32::from(stage == Stage::Done);
+    }
+
+    fn progress(&self) -> StepProgress {
+        let mut done = vec![0_u8; self.tasks.len().div_ceil(8)];
+        let mut failures = Vec::new();
+        for (i, task) in self.tasks.iter().enumerate() {
+            if task.stage == Stage::Done {
+                done[i / 8] |= 1 << (i % 8);
+            }
+            if task.failures > 0 {
+                let index = u32::try_from(i).unwrap_or(u32::MAX);
+                failures.push(Failures { index, count: task.failures, run: task.failed_run });
+            }
+        }
+        StepProgress { done, failures }
+    }
+
+    pub fn restore(&mut self, stored: &StepProgress) {
+        for index in 0..u32::try_from(self.tasks.len()).unwrap_or(u32::MAX) {
+            let byte = stored.done.get(index as usize / 8).copied().unwrap_or(0);
+            if byte & (1 << (index % 8)) != 0 {
+                self.set(index, Stage::Done);
+            }
+        }
+        for failure in &stored.failures {
+            if let Some(task) = self.tasks.get_mut(failure.index as usize) {
+                task.failures = failure.count;
+                task.failed_run = failure.run;
+                task.run = task.run.max(failure.run);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/shard/src/pace.rs
@@ -0,0 +1,65 @@
+//! Speed of filler tasks beside tasks that serve users.
+
+use crate::Ms;
+use crate::job::TaskRef;
+use crate::machine::{Action, Shard};
+use crate::worker::{RunPhase, WorkerKey};
+
+/// Part of a tail target, in percent, above which fillers are slowed down.
+const TIGHT: u64 = 85;
+/// Part of a tail target, in percent, below which fillers speed up.
+const EASY: u64 = 60;
+/// Time between two changes, in milliseconds; a change shows in the figures of the next half second.
+const SETTLE: Ms = 700;
+/// Speed below which a filler is halted, in percent.
+const CRAWL: u32 = 15;
+
+enum Trend {
+    Tight,
+    Easy,
+    Fine,
+}
+
+impl Shard {
+    /// Slows or speeds the fillers of a worker by the tails measured beside them.
+    pub(crate) fn pace(&mut self, key: WorkerKey) {
+        let now = self.now;
+        let trend = self.trend(key);
+        let worker = &mut self.workers[key as usize];
+        let mut changes: Vec<(TaskRef, u32, u32)> = Vec::new();
+        for (task, run) in &mut worker.runs {
+            if !run.filler || !matches!(run.phase, RunPhase::Running(_)) || now < run.paced + SETTLE {
+                continue;
+            }
+            let percent = match trend {
+                Trend::Tight if run.pace > CRAWL => run.pace / 3,
+                Trend::Tight => 0,
+                Trend::Easy => (run.pace + run.pace / 2 + 10).min(100),
+                Trend::Fine => run.pace,
+            };
+            if percent != run.pace {
+                run.pace = percent;
+                run.paced = now;
+                changes.push((*task, run.number, percent));
+            }
+        }
+        for (task, run, percent) in changes {
+            let Some(name) = self.run_name(&task) else { continue };
+            let worker = &self.workers[key as usize];
+            let (id, addr) = (worker.info.id.clone(), worker.info.addr.clone());
+            self.actions.push(Action::Pace { worker: id, addr, name, run, percent });
+        }
+    }
+
+    fn trend(&self, key: WorkerKey) -> Trend {
+        let worker = &self.workers[key as usize];
+        let serving = || worker.runs.values().filter(|r| r.target > 0);
+        if serving().any(|r| r.figure * 100 > r.target * TIGHT) {
+            Trend::Tight
+        } else if serving().all(|r| r.figure * 100 < r.target * EASY) {
+            Trend::Easy
+        } else {
+            Trend::Fine
+        }
+    }
+}
--- /dev/null
+++ b/components/shard/src/place.rs
@@ -0,0 +1,270 @@
+//! Placement: which worker gets a task.
+
+use crate::job::{Stage, StepRef, TaskRef};
+use crate::machine::{Action, Shard, StartOrder};
+use crate::model::{Res, StepSpec, Verdict};
+use crate::worker::{RunPhase, WorkerKey};
+
+/// Runs of one owner are numbered from its epoch's distance to the job's, times this.
+const RUNS_PER_EPOCH: u64 = 16;
+/// Steps that find no room in one pass before the pass ends.
+const FAILED_STEPS: usize = 24;
+
+/// What became of one task.
+enum Placed {
+    Yes,
+    NoRoom,
+    OverLimit,
+}
+
+impl Shard {
+    /// Starts what can be started.
+    pub(crate) fn place_all(&mut self) {
+        if self.ready.is_empty() {
+            return;
+        }
+        let mut claimed: Vec<WorkerKey> = Vec::new();
+        let mut failed = 0;
+        for at in self.ranked() {
+            if failed >= FAILED_STEPS {
+                break;
+            }
+            if !self.place_step(at, &mut claimed) {
+                failed += 1;
+            }
+        }
+    }
+
+    /// Starts the waiting tasks of a step; false if some found no room.
+    fn place_step(&mut self, at: StepRef, claimed: &mut Vec<WorkerKey>) -> bool {
+        let Some(job) = self.jobs.get(&at.job).filter(|j| j.verdict == Verdict::Open) else {
+            self.ready.remove(&at);
+            return true;
+        };
+        let Some(spec) = job.spec.steps.get(at.step as usize).cloned() else { return true };
+        let Some(step) = job.turn(at.turn).and_then(|t| t.steps.get(at.step as usize)) else { return true };
+        if step.waiting == 0 {
+            self.ready.remove(&at);
+            return true;
+        }
+        let tasks: Vec<u32> = (0..)
+            .zip(&step.tasks)
+            .filter(|(_, t)| t.stage == Stage::Waiting && t.not_before <= self.now)
+            .map(|(i, _)| i)
+            .collect();
+        if spec.gang {
+            return self.place_gang(at, &spec, &tasks, claimed);
+        }
+        for index in tasks {
+            match self.place_task(TaskRef { at, index }, &spec, claimed) {
+                Placed::Yes => {}
+                Placed::OverLimit => return true,
+                Placed::NoRoom => {
+                    self.claim(at, &spec, claimed);
+                    return false;
+                }
+            }
+        }
+        true
+    }
+
+    /// Starts all tasks of a gang, or none.
+    fn place_gang(
+        &mut self,
+        at: StepRef,
+        spec: &StepSpec,
+        tasks: &[u32],
+        claimed: &mut Vec<WorkerKey>,
+    ) -> bool {
+        if tasks.len() < spec.count as usize {
+            return true;
+        }
+        let mark = self.actions.len();
+        let mut placed = Vec::new();
+        for &index in tasks {
+            let task = TaskRef { at, index };
+            match self.place_task(task, spec, claimed) {
+                Placed::Yes => placed.push(task),
+                Placed::NoRoom | Placed::OverLimit => {
+                    self.undo(&placed, mark);
+                    return false;
+                }
+            }
+        }
+        self.align_gang(&placed, mark);
+        true
+    }
+
+    fn undo(&mut self, placed: &[TaskRef], mark: usize) {
+        self.actions.truncate(mark);
+        for task in placed {
+            if let Some(Stage::Placed(key)) = self.stage(task) {
+                self.release(key, task);
+                self.requeue(*task, self.now);
+            }
+        }
+    }
+
+    /// Gives all members of a gang the same run number and checkpoint.
+    fn align_gang(&mut self, placed: &[TaskRef], mark: usize) {
+        let mut run = 0;
+        let mut saved = String::new();
+        for order in self.actions[mark..].iter().filter_map(start_of) {
+            run = run.max(order.run);
+            if order.saved > saved {
+                saved.clone_from(&order.saved);
+            }
+        }
+        for action in &mut self.actions[mark..] {
+            if let Action::Start(order) = action {
+                order.run = run;
+                order.saved.clone_from(&saved);
+            }
+        }
+        for task in placed {
+            self.with_task(task, |t| t.run = run);
+            if let Some(Stage::Placed(key)) = self.stage(task)
+                && let Some(entry) = self.workers[key as usize].runs.get_mut(task)
+            {
+                entry.number = run;
+            }
+        }
+    }
+
+    fn place_task(&mut self, task: TaskRef, spec: &StepSpec, claimed: &[WorkerKey]) -> Placed {
+        if !self.within_limit(&task, spec) {
+            return Placed::OverLimit;
+        }
+        match self.choose(&task, spec, claimed) {
+            Some(key) => {
+                self.start(task, key);
+                Placed::Yes
+            }
+            None => Placed::NoRoom,
+        }
+    }
+
+    fn within_limit(&self, task: &TaskRef, spec: &StepSpec) -> bool {
+        let Some(job) = self.jobs.get(&task.at.job) else { return false };
+        let tenant = &job.spec.tenant;
+        if tenant.is_empty() {
+            return true;
+        }
+        let Some(allowed) = self.allowed.get(tenant) else { return false };
+        let charged = self.charged.get(tenant).copied().unwrap_or_default();
+        (charged + spec.charge()).within(allowed)
+    }
+
+    /// The best worker with room for a task.
+    fn choose(&self, task: &TaskRef, spec: &StepSpec, claimed: &[WorkerKey]) -> Option<WorkerKey> {
+        let job = self.jobs.get(&task.at.job)?;
+        let entry = job.turn(task.at.turn)?.steps.get(task.at.step as usize)?.tasks.get(task.index as usize)?;
+        let room = spec.room();
+        let mut best: Option<((bool, bool, u64, u64), WorkerKey)> = None;
+        for (key, worker) in (0..).zip(&self.workers) {
+            if !worker.usable(self.now) || !room.fits(&worker.free()) || claimed.contains(&key) {
+                continue;
+            }
+            if !self.suits(key, &task.at, spec, &job.spec.service) || self.probing(key) {
+                continue;
+            }
+            let avoided = entry.avoid.contains(&key);
+            let away = !spec.rack.is_empty() && worker.rack != spec.rack;
+            let load = load_of(&worker.used, &worker.info.room);
+            let company = if spec.filler {
+                worker.runs.values().filter(|r| r.target > 0).count() as u64
+            } else if spec.tail > 0 {
+                worker.runs.values().filter(|r| r.filler).count() as u64
+            } else {
+                0
+            };
+            let score = (avoided, away, company, load);
+            if best.as_ref().is_none_or(|(s, _)| score < *s) {
+                best = Some((score, key));
+            }
+        }
+        best.map(|(_, key)| key)
+    }
+
+    /// Policy allows a task of the step on a worker, whatever its room.
+    fn suits(&self, key: WorkerKey, at: &StepRef, spec: &StepSpec, service: &str) -> bool {
+        let worker = &self.workers[key as usize];
+        if worker.info.service != service || self.zones_out.contains(&worker.info.zone) {
+            return false;
+        }
+        if !spec.label.is_empty() && !worker.info.labels.contains(&spec.label) {
+            return false;
+        }
+        let same = worker.runs.keys().filter(|t| t.at == *at).count();
+        spec.spread == 0 || same < spec.spread as usize
+    }
+
+    /// A worker that failed lately gets one task at a time until one is done.
+    fn probing(&self, key: WorkerKey) -> bool {
+        let worker = &self.workers[key as usize];
+        worker.strikes >= 2 && worker.runs.values().any(|r| matches!(r.phase, RunPhase::Sent))
+    }
+
+    /// Keeps the worker with the most room that could run the step free of other tasks in this pass.
+    fn claim(&self, at: StepRef, spec: &StepSpec, claimed: &mut Vec<WorkerKey>) {
+        let Some(job) = self.jobs.get(&at.job) else { return };
+        let best = (0..)
+            .zip(&self.workers)
+            .filter(|(k, w)| w.usable(self.now) && spec.room().fits(&w.info.room) && !claimed.contains(k))
+            .filter(|(k, _)| self.suits(*k, &at, spec, &job.spec.service))
+            .max_by_key(|(_, w)| w.free().cpu)
+            .map(|(k, _)| k);
+        claimed.extend(best);
+    }
+
+    fn start(&mut self, task: TaskRef, key: WorkerKey) {
+        let now = self.now;
+        let Some(job) = self.jobs.get(&task.at.job) else { return };
+        let base = (self.epoch.saturating_sub(job.spec.epoch)) * RUNS_PER_EPOCH;
+        let (text, name) = (job.spec.text.clone(), self.run_name(&task));
+        let mut number = 0;
+        let mut saved = String::new();
+        self.with_task(&task, |t| {
+            t.run = (t.run + 1).max(u32::try_from(base + 1).unwrap_or(u32::MAX));
+            number = t.run;
+            saved.clone_from(&t.saved);
+        });
+        let (Some(run), Some(name)) = (self.new_run(&task, number), name) else { return };
+        let Some(clock) = self.workers[key as usize].clock_now(now) else { return };
+        self.set_stage(&task, Stage::Placed(key));
+        self.charge(&run);
+        let until = clock + self.limits.lease;
+        let worker = &mut self.workers[key as usize];
+        worker.lease_end = now + self.limits.lease_real();
+        worker.put(task, run);
+        let order = StartOrder {
+            worker: worker.info.id.clone(),
+            addr: worker.info.addr.clone(),
+            name,
+            run: number,
+            text,
+            saved,
+            until,
+        };
+        if let Some(job) = self.jobs.get_mut(&task.at.job) {
+            job.started = true;
+            if let Some(turn) = job.turn_mut(task.at.turn) {
+                turn.started = true;
+            }
+        }
+        self.actions.push(Action::Start(order));
+    }
+}
+
+const fn start_of(action: &Action) -> Option<&StartOrder> {
+    match action {
+        Action::Start(order) => Some(order),
+        _ => None,
+    }
+}
+
+/// Share of a worker that is used, in thousandths of its scarcest part.
+fn load_of(used: &Res, room: &Res) -> u64 {
+    let part = |u: u64, r: u64| if r == 0 { 0 } else { u * 1_000 / r };
+    part(used.cpu, room.cpu).max(part(used.mem, room.mem))
+}
--- /dev/null
+++ b/components/shard/src/report.rs
@@ -0,0 +1,275 @@
+//! Reports of workers: what runs, what has ended.
+
+use std::collections::HashMap;
+
+use crate::Ms;
+use crate::job::{Stage, TaskRef};
+use crate::machine::{Shard, StartReply};
+use crate::model::RunName;
+use crate::worker::{Contact, Run, RunPhase, WorkerKey};
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum How {
+    /// Its work is done.
+    Done,
+    /// It failed, through its own fault or the worker's.
+    Failed,
+    /// It was stopped, its lease lapsed, or other members of its gang were missing.
+    Cut,
+}
+
+/// A run that a worker has.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunRow {
+    /// Task.
+    pub name: RunName,
+    /// Run number.
+    pub run: u32,
+    /// Newest checkpoint; empty if none.
+    pub saved: String,
+    /// Work done, in percent; 100 for a lasting task at work.
+    pub percent: u32,
+    /// Tail latency of a task that serves, else processor use.
+    pub figure: u64,
+}
+
+/// A run that has ended on a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EndRow {
+    /// Number of the end in the worker's life.
+    pub number: u64,
+    /// Task.
+    pub name: RunName,
+    /// Run number.
+    pub run: u32,
+    /// How it ended.
+    pub how: How,
+    /// Newest checkpoint; empty if none.
+    pub saved: String,
+}
+
+/// A worker's answer to a look.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Report {
+    /// Start of the worker's life, in milliseconds since the Unix epoch.
+    pub born: u64,
+    /// Worker's clock in milliseconds.
+    pub clock: u64,
+    /// What runs.
+    pub running: Vec<RunRow>,
+    /// What has ended and is not acknowledged.
+    pub ended: Vec<EndRow>,
+}
+
+impl Shard {
+    pub(crate) fn looked(&mut self, id: &str, sent: Ms, report: &Report) {
+        let Some(key) = self.worker_key(id) else { return };
+        self.meet(key, report);
+        for end in &report.ended {
+            self.ended(key, end);
+        }
+        self.compare(key, sent, &report.running);
+        self.pace(key);
+        self.spot_stalls(key);
+    }
+
+    /// Takes a worker's life, clock and reachability from its report.
+    fn meet(&mut self, key: WorkerKey, report: &Report) {
+        let reborn = {
+            let worker = &self.workers[key as usize];
+            worker.born != 0 && worker.born != report.born
+        };
+        if reborn {
+            self.drop_runs(key, "worker was born again");
+        }
+        let now = self.now;
+        let worker = &mut self.workers[key as usize];
+        if reborn || worker.born == 0 {
+            worker.born = report.born;
+            worker.ends_seen = 0;
+            worker.ends_stored = 0;
+            worker.lease_end = 0;
+        }
+        worker.contact = Contact::Good;
+        worker.gone = false;
+        worker.clock = Some((report.clock, now));
+        worker.holding = false;
+        worker.hold_at = now;
+    }
+
+    /// Compares what a worker runs with what it should run.
+    fn compare(&mut self, key: WorkerKey, sent: Ms, running: &[RunRow]) {
+        let now = self.now;
+        let mut listed: HashMap<TaskRef, u32> = HashMap::new();
+        self.workers[key as usize].strangers.clear();
+        for row in running {
+            let Some(task) = self.task_ref(&row.name).filter(|t| self.knows(t)) else {
+                self.workers[key as usize].strangers.push((row.name.clone(), row.run));
+                continue;
+            };
+            listed.insert(task, row.run);
+            self.note_running(key, task, row);
+        }
+        let absent: Vec<(TaskRef, bool)> = self.workers[key as usize]
+            .runs
+            .iter()
+            .filter(|(task, run)| listed.get(*task) != Some(&run.number))
+            .filter_map(|(task, run)| match run.phase {
+                RunPhase::Running(at) | RunPhase::Stopped(at) => (at < sent).then_some((*task, true)),
+                RunPhase::Sent | RunPhase::Unclear | RunPhase::Stopping => None,
+            })
+            .collect();
+        for (task, _) in absent {
+            tracing::info!(worker = %self.workers[key as usize].info.id, ?task, "shard: run is gone without an end");
+            self.workers[key as usize].take(&task);
+            self.requeue(task, now);
+        }
+    }
+
+    fn knows(&self, task: &TaskRef) -> bool {
+        let Some(job) = self.jobs.get(&task.at.job) else { return false };
+        let step = job.spec.steps.get(task.at.step as usize);
+        step.is_some_and(|s| task.index < s.count)
+    }
+
+    /// A worker lists a run: adopts it if it was not known there.
+    fn note_running(&mut self, key: WorkerKey, task: TaskRef, row: &RunRow) {
+        let now = self.now;
+        let known = self.workers[key as usize].runs.get(&task).map(|r| r.number);
+        if known.is_none_or(|n| n < row.run) {
+            self.adopt(key, task, row.run);
+        }
+        let Some(run) = self.workers[key as usize].runs.get_mut(&task) else { return };
+        if run.number != row.run {
+            self.workers[key as usize].strangers.push((row.name.clone(), row.run));
+            return;
+        }
+        if matches!(run.phase, RunPhase::Sent | RunPhase::Unclear) && run.stop_sent == 0 {
+            run.phase = RunPhase::Running(now);
+        }
+        if row.percent != run.percent {
+            run.percent = row.percent;
+            run.moved = now;
+        }
+        run.figure = row.figure;
+        if !row.saved.is_empty() {
+            self.with_task(&task, |t| t.saved.clone_from(&row.saved));
+        }
+    }
+
+    /// Takes a run on a worker into the tables.
+    fn adopt(&mut self, key: WorkerKey, task: TaskRef, number: u32) {
+        let Some(mut run) = self.new_run(&task, number) else { return };
+        run.phase = RunPhase::Running(self.now);
+        let ended = self.jobs.get(&task.at.job).is_none_or(|j| j.verdict != crate::Verdict::Open);
+        let stage = self.stage(&task);
+        // A task that is done, or that runs elsewhere under a higher number, must not run here.
+        let wanted = match stage {
+            Some(Stage::Doubt | Stage::Waiting) => !ended,
+            Some(Stage::Placed(other)) => other == key || self.run_number(other, &task) < number,
+            Some(Stage::Done) | None => false,
+        };
+        if wanted {
+            if let Some(Stage::Placed(other)) = stage
+                && other != key
+                && let Some(old) = self.workers[other as usize].runs.get_mut(&task)
+            {
+                old.phase = RunPhase::Stopping;
+            }
+            self.set_stage(&task, Stage::Placed(key));
+            self.with_task(&task, |t| t.run = t.run.max(number));
+            if let Some(job) = self.jobs.get_mut(&task.at.job) {
+                job.started = true;
+            }
+        } else {
+            run.phase = RunPhase::Stopping;
+        }
+        if let Some(old) = self.workers[key as usize].take(&task) {
+            self.uncharge(&old);
+        }
+        self.charge(&run);
+        self.workers[key as usize].put(task, run);
+    }
+
+    fn run_number(&self, key: WorkerKey, task: &TaskRef) -> u32 {
+        self.workers[key as usize].runs.get(task).map_or(0, |r| r.number)
+    }
+
+    pub(crate) fn new_run(&self, task: &TaskRef, number: u32) -> Option<Run> {
+        let job = self.jobs.get(&task.at.job)?;
+        let step = job.spec.steps.get(task.at.step as usize)?;
+        Some(Run {
+            number,
+            phase: RunPhase::Sent,
+            room: step.room(),
+            charge: step.charge(),
+            tenant: job.spec.tenant.clone(),
+            filler: step.filler,
+            lasting: step.lasting,
+            target: step.tail,
+            percent: 0,
+            moved: self.now,
+            figure: 0,
+            pace: 100,
+            paced: 0,
+            stop_sent: 0,
+            stalled: false,
+        })
+    }
+
+    pub(crate) fn look_failed(&mut self, id: &str, other: bool, fenced: bool) {
+        if fenced {
+            self.fenced = true;
+            return;
+        }
+        let Some(key) = self.worker_key(id) else { return };
+        if other {
+            self.drop_runs(key, "another life is at the address");
+            self.workers[key as usize].gone = true;
+        }
+        let worker = &mut self.workers[key as usize];
+        worker.holding = false;
+        worker.contact = if worker.contact == Contact::Unknown { Contact::Unknown } else { Contact::Bad };
+        worker.hold_at = self.now + crate::health::RETRY;
+    }
+
+    pub(crate) fn started(&mut self, id: &str, name: &RunName, number: u32, reply: StartReply) {
+        let (Some(key), Some(task)) = (self.worker_key(id), self.task_ref(name)) else { return };
+        let now = self.now;
+        let Some(run) = self.workers[key as usize].runs.get_mut(&task).filter(|r| r.number == number) else {
+            return;
+        };
+        match reply {
+            StartReply::Running => {
+                if run.phase == RunPhase::Sent {
+                    run.phase = RunPhase::Running(now);
+                }
+            }
+            StartReply::NoAnswer => {
+                if run.phase == RunPhase::Sent {
+                    run.phase = RunPhase::Unclear;
+                }
+            }
+            StartReply::Fenced => self.fenced = true,
+            StartReply::Refused | StartReply::Unwell | StartReply::OtherLife | StartReply::NotSent => {
+                // A run that was seen meanwhile is real, whatever the answer says.
+                if matches!(run.phase, RunPhase::Sent | RunPhase::Stopping) {
+                    self.release(key, &task);
+                    self.requeue(task, now);
+                }
+                self.rest(key, reply);
+            }
+        }
+    }
+
+    pub(crate) fn stopped(&mut self, id: &str, name: &RunName, number: u32) {
+        let (Some(key), Some(task)) = (self.worker_key(id), self.task_ref(name)) else { return };
+        let now = self.now;
+        if let Some(run) = self.workers[key as usize].runs.get_mut(&task).filter(|r| r.number == number) {
+            run.phase = RunPhase::Stopped(now);
+            // Look soon, to see its end.
+            self.workers[key as usize].hold_at = now;
+        }
+    }
+}
--- /dev/null
+++ b/components/shard/src/view.rs
@@ -0,0 +1,86 @@
+//! What callers and operators see of a shard.
+
+use std::collections::HashMap;
+
+use crate::machine::Shard;
+use crate::model::{Res, Verdict};
+
+/// State of a job as its caller sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum JobState {
+    /// No task has started.
+    Queued,
+    /// Tasks have started.
+    Running,
+    /// All tasks are done.
+    Completed,
+    /// A task has failed for good.
+    Failed,
+    /// Cancelled.
+    Cancelled,
+}
+
+/// What a customer uses and waits for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Running, or possibly running.
+    pub used: Res,
+    /// Wanted besides by tasks that could start.
+    pub wanted: Res,
+}
+
+impl Shard {
+    /// State of a job that is stored; `None` if there is none.
+    #[must_use]
+    pub fn state(&self, id: &str) -> Option<JobState> {
+        let job = self.ids.get(id).and_then(|k| self.jobs.get(k)).filter(|j| j.stored)?;
+        Some(match job.shown {
+            Verdict::Completed => JobState::Completed,
+            Verdict::Failed => JobState::Failed,
+            Verdict::Cancelled => JobState::Cancelled,
+            Verdict::Open if job.started => JobState::Running,
+            Verdict::Open => JobState::Queued,
+        })
+    }
+
+    /// Accepted jobs of a queue of which no task has started.
+    #[must_use]
+    pub fn waiting(&self, queue: &str) -> usize {
+        let waits = |j: &&crate::job::Job| {
+            j.stored && !j.started && j.verdict == Verdict::Open && j.spec.queue == queue
+        };
+        self.jobs.values().filter(waits).count()
+    }
+
+    /// Use and want of each customer.
+    #[must_use]
+    pub fn usage(&self) -> HashMap<String, Usage> {
+        let mut table: HashMap<String, Usage> =
+            self.charged.iter().map(|(t, &used)| (t.clone(), Usage { used, ..Usage::default() })).collect();
+        for at in &self.ready {
+            let Some(job) = self.jobs.get(&at.job) else { continue };
+            let Some(step) = job.turn(at.turn).and_then(|t| t.steps.get(at.step as usize)) else { continue };
+            let Some(spec) = job.spec.steps.get(at.step as usize) else { continue };
+            if job.spec.tenant.is_empty() {
+                continue;
+            }
+            let entry = table.entry(job.spec.tenant.clone()).or_default();
+            let n = u64::from(step.waiting);
+            let one = spec.charge();
+            entry.wanted += Res { cpu: one.cpu * n, mem: one.mem * n, gpu: one.gpu * n };
+        }
+        table
+    }
+
+    /// Workers, for the operators: id and runs.
+    #[must_use]
+    pub fn loads(&self) -> Vec<(String, usize)> {
+        self.workers.iter().filter(|w| !w.gone).map(|w| (w.info.id.clone(), w.runs.len())).collect()
+    }
+
+    pub(crate) fn cordon(&mut self, id: &str, on: bool) {
+        if let Some(key) = self.worker_key(id) {
+            self.workers[key as usize].cordoned = on;
+        }
+    }
+}
--- /dev/null
+++ b/components/shard/src/worker.rs
@@ -0,0 +1,182 @@
+//! Table of workers and the runs on each.
+
+use std::collections::HashMap;
+
+use crate::Ms;
+use crate::job::TaskRef;
+use crate::model::{Res, RunName};
+
+pub(crate) type WorkerKey = u32;
+
+/// A worker as the platform lists it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorkerInfo {
+    /// Unique id.
+    pub id: String,
+    /// Address as `ip:port`.
+    pub addr: String,
+    /// Service that it serves.
+    pub service: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Kind and rack.
+    pub labels: Vec<String>,
+    /// What it has.
+    pub room: Res,
+    /// It takes new work.
+    pub ready: bool,
+}
+
+/// What is known of a run on a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RunPhase {
+    /// Start sent, not answered.
+    Sent,
+    /// Started; answered or seen at this time.
+    Running(Ms),
+    /// The start's answer is lost; a stop is to settle it.
+    Unclear,
+    /// A stop was answered at this time: the run ends, or never was.
+    Stopped(Ms),
+    /// A stop is wanted.
+    Stopping,
+}
+
+#[derive(Debug)]
+pub(crate) struct Run {
+    pub number: u32,
+    pub phase: RunPhase,
+    pub room: Res,
+    pub charge: Res,
+    pub tenant: String,
+    pub filler: bool,
+    pub lasting: bool,
+    /// Highest tail latency; 0 if it serves no users.
+    pub target: u64,
+    pub percent: u32,
+    /// When `percent` last rose.
+    pub moved: Ms,
+    /// Measured: tail latency of a run that serves, else processor use.
+    pub figure: u64,
+    /// Share of its speed that it is set to, in percent.
+    pub pace: u32,
+    pub paced: Ms,
+    /// When the last stop was sent; 0 if none was.
+    pub stop_sent: Ms,
+    /// Stopped because it stands still, not by wish of the caller.
+    pub stalled: bool,
+}
+
+/// Whether a worker's own word on its runs is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Contact {
+    /// Never reached under this ownership.
+    Unknown,
+    /// Last call answered.
+    Good,
+    /// Last call failed.
+    Bad,
+}
+
+#[derive(Debug)]
+pub(crate) struct Worker {
+    pub info: WorkerInfo,
+    pub rack: String,
+    /// The platform lists it.
+    pub listed: bool,
+    /// The log has stored that this shard uses it.
+    pub recorded: bool,
+    pub contact: Contact,
+    /// Start of its life, as it says.
+    pub born: u64,
+    /// Highest end seen in this life.
+    pub ends_seen: u64,
+    /// Highest end whose effect is stored.
+    pub ends_stored: u64,
+    /// Its clock, and when that was read.
+    pub clock: Option<(u64, Ms)>,
+    /// When all that runs there has surely lapsed if it is not reached any more.
+    pub lease_end: Ms,
+    pub used: Res,
+    pub runs: HashMap<TaskRef, Run>,
+    /// Runs there that no job of this shard explains; no start until they are gone.
+    pub strangers: Vec<(RunName, u32)>,
+    pub holding: bool,
+    /// Next look is due.
+    pub hold_at: Ms,
+    /// Failed runs in a row that speak against the worker.
+    pub strikes: u32,
+    /// No starts before.
+    pub rest_until: Ms,
+    /// To be emptied for maintenance.
+    pub cordoned: bool,
+    pub gone: bool,
+}
+
+impl Worker {
+    pub fn new(info: WorkerInfo, now: Ms) -> Self {
+        let rack = rack_of(&info.labels);
+        Self {
+            info,
+            rack,
+            listed: true,
+            recorded: false,
+            contact: Contact::Unknown,
+            born: 0,
+            ends_seen: 0,
+            ends_stored: 0,
+            clock: None,
+            lease_end: 0,
+            used: Res::default(),
+            runs: HashMap::new(),
+            strangers: Vec::new(),
+            holding: false,
+            hold_at: now,
+            strikes: 0,
+            rest_until: 0,
+            cordoned: false,
+            gone: false,
+        }
+    }
+
+    /// Room that is left.
+    pub const fn free(&self) -> Res {
+        self.info.room.less(&self.used)
+    }
+
+    /// May get new tasks now.
+    pub fn usable(&self, now: Ms) -> bool {
+        self.listed
+            && self.info.ready
+            && self.recorded
+            && !self.gone
+            && !self.cordoned
+            && self.contact == Contact::Good
+            && self.strangers.is_empty()
+            && self.clock.is_some()
+            && now >= self.rest_until
+    }
+
+    /// Its clock now, a little behind at most.
+    pub fn clock_now(&self, now: Ms) -> Option<u64> {
+        self.clock.map(|(clock, read)| clock + now.saturating_sub(read))
+    }
+
+    pub fn put(&mut self, task: TaskRef, run: Run) {
+        self.used += run.room;
+        if let Some(old) = self.runs.insert(task, run) {
+            self.used -= old.room;
+        }
+    }
+
+    pub fn take(&mut self, task: &TaskRef) -> Option<Run> {
+        let run = self.runs.remove(task)?;
+        self.used -= run.room;
+        Some(run)
+    }
+}
+
+/// Racks are the label that holds a dash after its letter.
+fn rack_of(labels: &[String]) -> String {
+    labels.iter().find(|l| l.contains('-')).cloned().unwrap_or_default()
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -18,6 +18,9 @@
             required settings: PathBuf
         }
 
+        /// Run a daemon on the users' platform, with the settings that it provides.
+        cmd relay {}
+
         /// Check a settings file; exit code 2 if something is wrong.
         cmd check {
             /// Settings file, JSON with comments.
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -3,6 +3,7 @@
 mod check;
 mod ctl;
 mod demo;
+mod relay;
 mod serve;
 mod standin;
 mod timeline;
@@ -36,6 +37,9 @@
     /// Input or output failed.
     #[error(transparent)]
     Io(#[from] std::io::Error),
+    /// The daemon on the platform stopped.
+    #[error(transparent)]
+    Relay(#[from] platform::Error),
     /// Another host did not answer.
     #[error("{0}")]
     Edge(#[from] edge::Fault),
@@ -57,10 +61,17 @@
 
 /// Runs a command.
 pub fn run(command: LagoonrelayCmd) -> Result<(), Error> {
-    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    // An entry machine of the platform has one core or less.
+    let single = matches!(command, LagoonrelayCmd::Relay(_));
+    let runtime = if single {
+        tokio::runtime::Builder::new_current_thread().enable_all().build()?
+    } else {
+        tokio::runtime::Builder::new_multi_thread().enable_all().build()?
+    };
     runtime.block_on(async {
         match command {
             LagoonrelayCmd::Serve(flags) => serve::run(&flags).await,
+            LagoonrelayCmd::Relay(_) => relay::run().await,
             LagoonrelayCmd::Check(flags) => check::run(&flags),
             LagoonrelayCmd::Ctl(flags) => ctl::run(&flags).await,
             LagoonrelayCmd::Timeline(flags) => timeline::run(&flags).await,
