Maintenance waves by one holder of the duty; final answers before a stop

Change: ended owners do not count as here; calls end before the daemon leaves. Waves: a planner crate and a duty of the owner of the last partition.

--- /dev/null
+++ b/components/relay/src/duty.rs
@@ -0,0 +1,193 @@
+//! The duty of maintenance waves: one daemon at a time, the owner of the last partition, carries them out.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use shard::Record;
+use upkeep::{Machine, Next, Outcome, Wave};
+
+use crate::clock::steady_ms;
+use crate::edge::{Appended, Machines, Ordered, Store};
+use crate::node::Node;
+use crate::setup::Setup;
+
+/// Pause between two looks at the machines while a wave runs.
+const EVERY: Duration = Duration::from_millis(300);
+/// Pause while there is nothing to do.
+const IDLE: Duration = Duration::from_millis(500);
+/// Time for a question to a shard's owner.
+const ASK: Duration = Duration::from_millis(250);
+
+/// What the duty needs.
+#[derive(Debug)]
+pub struct Duty {
+    /// Daemon that has the duty.
+    pub node: Arc<Node>,
+    /// The platform's store.
+    pub store: Arc<dyn Store>,
+    /// The platform's machines.
+    pub machines: Arc<dyn Machines>,
+    /// Partition whose owner has the duty.
+    pub part: u32,
+    /// Epoch, the fencing token of orders.
+    pub epoch: u64,
+    /// Milliseconds in which an earlier holder's orders may still come.
+    pub lease: u64,
+}
+
+/// Waves by number, and what is stored of each.
+#[derive(Debug, Default)]
+struct Waves {
+    open: BTreeMap<u64, Wave>,
+    stored: HashMap<u64, BTreeSet<String>>,
+    complete: BTreeSet<u64>,
+    shown: HashMap<u64, bool>,
+    sequence: u64,
+}
+
+impl Duty {
+    /// Runs until the duty is lost.
+    pub async fn run(self) {
+        let Some(mut waves) = self.load().await else { return };
+        let from = steady_ms() + self.lease;
+        tracing::info!(epoch = self.epoch, "duty: taken");
+        while self.node.holds(self.part, self.epoch) {
+            let wishes = self.node.wishes();
+            for (number, wish) in &wishes.waves {
+                if !waves.complete.contains(number) && !waves.open.contains_key(number) {
+                    let done = waves.stored.get(number).cloned().unwrap_or_default();
+                    let at_once = wish.at_once as usize;
+                    let wave = Wave::new(&wish.machines, at_once, steady_ms(), wish.seconds * 1_000, &done);
+                    tracing::info!(
+                        wave = number,
+                        machines = wish.machines.len(),
+                        at_once,
+                        "duty: wave begins"
+                    );
+                    waves.open.insert(*number, wave);
+                }
+            }
+            if waves.open.is_empty() {
+                tokio::time::sleep(IDLE).await;
+                continue;
+            }
+            match self.machines.list().await {
+                Ok(list) => {
+                    if let (Some(setup), true) = (wishes.setup, steady_ms() >= from) {
+                        self.advance(&mut waves, &list, &setup).await;
+                    }
+                }
+                Err(error) => tracing::info!(%error, "duty: machines not listed"),
+            }
+            tokio::time::sleep(EVERY).await;
+        }
+        tracing::info!(epoch = self.epoch, "duty: given up");
+    }
+
+    async fn load(&self) -> Option<Waves> {
+        let mut waves = Waves::default();
+        loop {
+            if !self.node.holds(self.part, self.epoch) {
+                return None;
+            }
+            let fenced = self.store.append(self.part, self.epoch, 0, &[]).await;
+            if fenced == Ok(Appended::Fenced) {
+                return None;
+            }
+            if let (Ok(Appended::Stored), Ok(items)) = (fenced, self.store.load(self.part).await) {
+                for (key, value) in items {
+                    let Some(number) = key.strip_prefix("m:").and_then(|n| n.parse().ok()) else { continue };
+                    let names = String::from_utf8(value).unwrap_or_default();
+                    waves.stored.insert(number, names.split_whitespace().map(str::to_owned).collect());
+                }
+                return Some(waves);
+            }
+            tokio::time::sleep(EVERY).await;
+        }
+    }
+
+    async fn advance(&self, waves: &mut Waves, list: &[Machine], setup: &Setup) {
+        let numbers: Vec<u64> = waves.open.keys().copied().collect();
+        for number in numbers {
+            let Some(wave) = waves.open.get_mut(&number) else { continue };
+            wave.see(list);
+            let left = self.left(wave, list, setup).await;
+            if !self.node.holds(self.part, self.epoch) {
+                return;
+            }
+            for next in wave.plan(steady_ms(), list, &left) {
+                match next {
+                    Next::Empty(name) => tracing::info!(wave = number, machine = %name, "duty: emptied"),
+                    Next::Order(name) => {
+                        let outcome = self.order(&name, number).await;
+                        wave.ordered(&name, outcome);
+                    }
+                }
+            }
+            let (begun, complete) = (wave.begun(), wave.complete());
+            self.record(waves, number, &begun, complete).await;
+        }
+    }
+
+    /// Runs left on the machines that are being emptied.
+    async fn left(&self, wave: &Wave, list: &[Machine], setup: &Setup) -> BTreeMap<String, usize> {
+        let mut left = BTreeMap::new();
+        for name in wave.emptying() {
+            let Some(machine) = list.iter().find(|m| &m.name == name) else { continue };
+            let spare = setup.pools.iter().any(|p| p.name == machine.pool && p.spare);
+            if spare {
+                left.insert(name.clone(), 0);
+            } else if let Some(count) = self.node.empty(&machine.pool, &machine.worker, ASK).await {
+                left.insert(name.clone(), count);
+            }
+        }
+        left
+    }
+
+    async fn order(&self, machine: &str, wave: u64) -> Outcome {
+        if !self.node.holds(self.part, self.epoch) {
+            return Outcome::NotDone;
+        }
+        let answer = self.machines.maintain(machine, wave, self.node.name(), self.epoch).await;
+        tracing::info!(wave, machine, ?answer, "duty: maintenance ordered");
+        match answer {
+            Ok(Ordered::Done) => Outcome::Begun,
+            Ok(Ordered::Refused) => Outcome::NotDone,
+            Err(fault) if fault.verdict == ::edge::Verdict::NotRun => Outcome::NotDone,
+            Err(_) => Outcome::Unknown,
+        }
+    }
+
+    /// Stores which machines have begun and shows the wave's state.
+    async fn record(&self, waves: &mut Waves, number: u64, begun: &BTreeSet<String>, complete: bool) {
+        if waves.stored.get(&number) != Some(begun) {
+            let names: Vec<&str> = begun.iter().map(String::as_str).collect();
+            let record = Record { key: format!("m:{number}"), value: Some(names.join(" ").into_bytes()) };
+            match self.store.append(self.part, self.epoch, waves.sequence + 1, &[record]).await {
+                Ok(Appended::Stored) => {
+                    waves.sequence += 1;
+                    waves.stored.insert(number, begun.clone());
+                }
+                Ok(Appended::Sequence(expected)) => waves.sequence = expected.saturating_sub(1),
+                answer => {
+                    tracing::info!(wave = number, ?answer, "duty: progress not stored");
+                    return;
+                }
+            }
+        }
+        if waves.shown.get(&number) != Some(&complete) {
+            match self.store.show_wave(number, complete).await {
+                Ok(()) => {
+                    tracing::info!(wave = number, complete, "duty: wave's state shown");
+                    waves.shown.insert(number, complete);
+                }
+                Err(error) => tracing::info!(wave = number, %error, "duty: state not shown"),
+            }
+        }
+        if complete && waves.shown.get(&number) == Some(&true) {
+            waves.open.remove(&number);
+            waves.complete.insert(number);
+        }
+    }
+}
--- a/components/relay/src/edge.rs
+++ b/components/relay/src/edge.rs
@@ -1,7 +1,7 @@
 //! What the daemon asks of the platform: a store with groups, operators' documents, and workers.
 
 use ::edge::Call;
-use shard::{JobSpec, Record, Report, StartOrder, StartReply, WorkerInfo};
+use shard::{Record, Report, StartOrder, StartReply, WorkerInfo};
 
 use crate::setup::Setup;
 
@@ -53,8 +53,13 @@
     fn owners(&self) -> Call<'_, Vec<(u32, String)>>;
 
     /// Appends records to a shard's partition, all or none.
-    fn append<'a>(&'a self, part: u32, epoch: u64, sequence: u64, records: &'a [Record])
-    -> Call<'a, Appended>;
+    fn append<'a>(
+        &'a self,
+        part: u32,
+        epoch: u64,
+        sequence: u64,
+        records: &'a [Record],
+    ) -> Call<'a, Appended>;
 
     /// Reads the newest record of each key of a shard's partition.
     fn load(&self, part: u32) -> Call<'_, Items>;
@@ -62,6 +67,9 @@
     /// Reads what operators changed, waiting for a change; `None` reads all.
     fn operator(&self, from: Option<u64>) -> Call<'_, Changes<Document>>;
 
+    /// Shows operators whether a maintenance wave is complete.
+    fn show_wave(&self, wave: u64, complete: bool) -> Call<'_, ()>;
+
     /// Reads which workers changed; `None` reads all.
     fn workers(&self, from: Option<u64>) -> Call<'_, Changes<WorkerInfo>>;
 }
@@ -127,5 +135,20 @@
     OtherLife,
 }
 
-/// A job as a caller submits it, before the owner accepts it.
-pub type Draft = JobSpec;
+/// Answer to an order for a machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ordered {
+    /// Done, now or before.
+    Done,
+    /// Not done.
+    Refused,
+}
+
+/// The platform's machines.
+pub trait Machines: Send + Sync + std::fmt::Debug {
+    /// Lists all machines.
+    fn list(&self) -> Call<'_, Vec<upkeep::Machine>>;
+
+    /// Takes a machine down for its maintenance in a wave.
+    fn maintain<'a>(&'a self, machine: &'a str, wave: u64, holder: &'a str, fence: u64) -> Call<'a, Ordered>;
+}
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -5,9 +5,10 @@
 //! validates the call and passes it on to the shard's owner over the mesh of daemons.
 
 mod clock;
+mod duty;
 pub mod edge;
-mod mesh;
 mod member;
+mod mesh;
 mod node;
 mod owner;
 mod reply;
--- a/components/relay/src/mesh.rs
+++ b/components/relay/src/mesh.rs
@@ -112,7 +112,7 @@
                 let Ok(reply) = Reply::decode(frame) else { break };
                 if let Some(waiter) = waiters.lock().remove(&reply.id) {
                     // A caller that has gone away needs no answer.
-                    drop(waiter.send(reply));
+                    let _ = waiter.send(reply);
                 }
             }
         }
@@ -164,7 +164,7 @@
                 None => Reply::of(Kind::Unset),
             };
             // The peer may have gone.
-            drop(replies.send(Reply { id: ask.id, ..reply }).await);
+            let _ = replies.send(Reply { id: ask.id, ..reply }).await;
         });
     }
     writer.abort();
--- a/components/relay/src/node.rs
+++ b/components/relay/src/node.rs
@@ -12,7 +12,8 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
-use crate::edge::{Orders, Store};
+use crate::duty::Duty;
+use crate::edge::{Machines, Orders, Store};
 use crate::member::{self, Standing};
 use crate::mesh::{self, Mesh, MeshFault};
 use crate::owner::{Owner, Surroundings};
@@ -42,9 +43,13 @@
     pub store: Arc<dyn Store>,
     /// Orders to workers.
     pub orders: Arc<dyn Orders>,
+    /// The platform's machines.
+    pub machines: Arc<dyn Machines>,
     /// Bounds.
     pub limits: Limits,
-    /// Partitions of the shards' topic.
+    /// Milliseconds between orders of two holders for one machine.
+    pub duty_lease: u64,
+    /// Partitions of the shards' topic; the last one carries the duty of maintenance.
     pub parts: u32,
 }
 
@@ -79,6 +84,8 @@
     stopping: watch::Sender<bool>,
     draining: AtomicBool,
     last_epoch: Mutex<u64>,
+    leave_by: Mutex<Option<Instant>>,
+    duty: Mutex<Option<(u64, tokio::task::JoinHandle<()>)>>,
 }
 
 impl Node {
@@ -104,6 +111,8 @@
             stopping,
             draining: AtomicBool::new(false),
             last_epoch: Mutex::default(),
+            leave_by: Mutex::default(),
+            duty: Mutex::default(),
         });
         tokio::spawn(Arc::clone(&node).keep_shards());
         tokio::spawn(Arc::clone(&node).keep_owners());
@@ -127,8 +136,9 @@
         !self.draining.load(Ordering::Relaxed) && self.wishes.borrow().setup.is_some()
     }
 
-    /// Hands over all shards and stops being ready; calls are answered on.
-    pub fn drain(&self) {
+    /// Hands over all shards and stops being ready; calls are answered until the time is over.
+    pub fn drain(&self, within: Duration) {
+        *self.leave_by.lock() = Some(Instant::now() + within);
         self.draining.store(true, Ordering::Relaxed);
         for owner in self.owned.lock().values() {
             owner.stop();
@@ -160,6 +170,7 @@
     /// Asks a shard's owner, wherever it is, until the time is over.
     async fn ask(&self, service: &str, want: Want, within: Duration) -> Outcome {
         let end = Instant::now() + within;
+        let end = self.leave_by.lock().map_or(end, |last| end.min(last));
         let mut sent = false;
         loop {
             let left = end.saturating_duration_since(Instant::now());
@@ -184,7 +195,7 @@
 
     async fn ask_once(&self, part: u32, want: Want, left: Duration) -> Result<Reply, MeshFault> {
         let owner = self.owners.lock().get(&part).copied();
-        let here = self.owned.lock().contains_key(&part);
+        let here = self.owned.lock().get(&part).is_some_and(|o| !o.ended());
         if here || owner == Some(self.parts.mesh) {
             let reply = tokio::time::timeout(left, self.ask_here(part, want)).await;
             return reply.map_err(|_| MeshFault::NoAnswer);
@@ -201,8 +212,35 @@
         }
     }
 
+    /// Name, for logs and as the holder of duties.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.parts.name
+    }
+
+    /// Operators' documents.
+    #[must_use]
+    pub fn wishes(&self) -> Wishes {
+        self.wishes.borrow().clone()
+    }
+
+    /// A partition is surely still ours under an epoch.
+    #[must_use]
+    pub fn holds(&self, part: u32, epoch: u64) -> bool {
+        let standing = self.standing.borrow();
+        let current = self.duty.lock().as_ref().is_some_and(|(e, _)| *e == epoch);
+        current && standing.sure() && standing.share.parts.contains(&part)
+    }
+
+    /// Asks a worker's shard to empty it; gives the runs that are left, if that is known.
+    pub async fn empty(&self, service: &str, worker: &str, within: Duration) -> Option<usize> {
+        let want = Want::Empty(worker.to_owned());
+        let reply = self.ask_once(self.part(service)?, want, within).await.ok()?;
+        (reply.kind() == Kind::Count).then(|| usize::try_from(reply.value).unwrap_or(usize::MAX))
+    }
+
     fn part(&self, service: &str) -> Option<u32> {
-        self.setup()?.parts(self.parts.parts).get(service).copied()
+        self.setup()?.parts(self.parts.parts - 1).get(service).copied()
     }
 
     /// Starts and ends ownership as the group deals shards out.
@@ -220,17 +258,20 @@
         }
     }
 
-    fn adjust(&self, standing: &Standing) {
+    fn adjust(self: &Arc<Self>, standing: &Standing) {
         if self.draining.load(Ordering::Relaxed) {
             return;
         }
         let Some(setup) = self.setup() else { return };
-        let active: Vec<u32> = setup.parts(self.parts.parts).into_values().collect();
+        let active: Vec<u32> = setup.parts(self.parts.parts - 1).into_values().collect();
         let mut owned = self.owned.lock();
         owned.retain(|_, owner| !owner.ended());
         if !standing.sure() {
             return;
         }
+        drop(owned);
+        self.adjust_duty(standing);
+        let mut owned = self.owned.lock();
         for &part in standing.share.parts.iter().filter(|p| active.contains(p)) {
             owned.entry(part).or_insert_with(|| {
                 let epoch = self.epoch(standing.share.generation);
@@ -240,6 +281,28 @@
         }
     }
 
+    /// Takes or leaves the duty of maintenance.
+    fn adjust_duty(self: &Arc<Self>, standing: &Standing) {
+        let part = self.parts.parts.saturating_sub(1);
+        let ours = standing.share.parts.contains(&part);
+        let running = self.duty.lock().as_ref().is_some_and(|(_, task)| !task.is_finished());
+        if !ours {
+            *self.duty.lock() = None;
+        } else if !running {
+            let epoch = self.epoch(standing.share.generation);
+            let duty = Duty {
+                node: Arc::clone(self),
+                store: Arc::clone(&self.parts.store),
+                machines: Arc::clone(&self.parts.machines),
+                part,
+                epoch,
+                lease: self.parts.duty_lease,
+            };
+            let mut slot = self.duty.lock();
+            *slot = Some((epoch, tokio::spawn(duty.run())));
+        }
+    }
+
     /// A new epoch: above all of earlier generations, and above this daemon's earlier ones of the same.
     fn epoch(&self, generation: u64) -> u64 {
         let mut last = self.last_epoch.lock();
@@ -253,7 +316,7 @@
             store: Arc::clone(&self.parts.store),
             orders: Arc::clone(&self.parts.orders),
             limits: self.parts.limits,
-            parts: self.parts.parts,
+            parts: self.parts.parts - 1,
             standing: self.standing.clone(),
             roster: self.roster.clone(),
             wishes: self.wishes.clone(),
--- a/components/relay/src/owner.rs
+++ b/components/relay/src/owner.rs
@@ -41,8 +41,6 @@
 /// Way to a shard that this daemon owns.
 #[derive(Clone, Debug)]
 pub struct Owner {
-    /// Epoch under which it is owned.
-    pub epoch: u64,
     letters: mpsc::Sender<Letter>,
 }
 
@@ -75,7 +73,7 @@
             let Some(shard) = take_over(part, epoch, &around).await else { return };
             Driver::new(part, shard, around, own).run(inbox).await;
         });
-        Self { epoch, letters }
+        Self { letters }
     }
 
     /// The driver has ended.
@@ -225,10 +223,14 @@
                 return self.input(Input::Cancel { ticket, id });
             }
             Want::State(id) => self.shard.state(&id).map_or(Reply::of(Kind::Unknown), Reply::state),
+            Want::Empty(worker) => {
+                self.input(Input::Cordon { worker: worker.clone(), on: true });
+                self.shard.left(&worker).map_or(Reply::of(Kind::Unset), Reply::count)
+            }
             Want::Waiting(queue) => Reply::count(self.shard.waiting(&queue)),
         };
         // The caller may have gone.
-        drop(reply.send(answer));
+        let _ = reply.send(answer);
     }
 
     fn submit(&mut self, spec: JobSpec, reply: oneshot::Sender<Reply>) {
@@ -245,7 +247,7 @@
     fn answer(&mut self, ticket: u64, kind: Kind) {
         if let Some(reply) = self.tickets.remove(&ticket) {
             // The caller may have gone.
-            drop(reply.send(Reply::of(kind)));
+            let _ = reply.send(Reply::of(kind));
         }
     }
 
--- a/components/relay/src/reply.rs
+++ b/components/relay/src/reply.rs
@@ -12,7 +12,7 @@
     #[prost(uint32, tag = "2")]
     pub part: u32,
     /// What is asked.
-    #[prost(oneof = "Want", tags = "3, 4, 5, 6")]
+    #[prost(oneof = "Want", tags = "3, 4, 5, 6, 7")]
     pub want: Option<Want>,
 }
 
@@ -31,6 +31,9 @@
     /// Jobs of a queue that wait.
     #[prost(string, tag = "6")]
     Waiting(String),
+    /// Empty a worker and count the runs that are left.
+    #[prost(string, tag = "7")]
+    Empty(String),
 }
 
 /// Kinds of answer.
--- /dev/null
+++ b/components/shard/src/drain.rs
@@ -0,0 +1,93 @@
+//! Emptying a worker for maintenance without breaking a disruption budget.
+
+use crate::job::{Stage, TaskRef};
+use crate::machine::{Phase, Shard};
+use crate::worker::{Contact, RunPhase, WorkerKey};
+
+/// A checkpointing run beyond this percentage ends soon by itself.
+const NEARLY_DONE: u32 = 80;
+/// Percentage of a lasting task that is at work.
+const AT_WORK: u32 = 100;
+
+impl Shard {
+    pub(crate) fn cordon(&mut self, id: &str, on: bool) {
+        if let Some(key) = self.worker_key(id) {
+            self.workers[key as usize].cordoned = on;
+        }
+    }
+
+    /// Runs on a worker, if that is known for sure. A worker that is not known has none.
+    #[must_use]
+    pub fn left(&self, id: &str) -> Option<usize> {
+        if self.phase != Phase::Settled {
+            return None;
+        }
+        let Some(key) = self.worker_key(id) else { return Some(0) };
+        let worker = &self.workers[key as usize];
+        if worker.gone {
+            return Some(0);
+        }
+        (worker.contact == Contact::Good).then_some(worker.runs.len() + worker.strangers.len())
+    }
+
+    /// Stops what can be moved away from workers that are being emptied.
+    pub(crate) fn move_away(&mut self) {
+        if self.phase != Phase::Settled {
+            return;
+        }
+        for key in 0..u32::try_from(self.workers.len()).unwrap_or(0) {
+            let worker = &self.workers[key as usize];
+            if !worker.cordoned || worker.gone || worker.runs.is_empty() {
+                continue;
+            }
+            let tasks: Vec<TaskRef> = worker.runs.keys().copied().collect();
+            for task in tasks {
+                if self.may_move(key, &task)
+                    && let Some(run) = self.workers[key as usize].runs.get_mut(&task)
+                {
+                    run.phase = RunPhase::Stopping;
+                }
+            }
+        }
+    }
+
+    fn may_move(&self, key: WorkerKey, task: &TaskRef) -> bool {
+        let Some(run) = self.workers[key as usize].runs.get(task) else { return false };
+        let Some(job) = self.jobs.get(&task.at.job) else { return false };
+        let Some(spec) = job.spec.steps.get(task.at.step as usize) else { return false };
+        if !matches!(run.phase, RunPhase::Running(_)) {
+            return false;
+        }
+        if spec.lasting {
+            let budget = (spec.budget as usize).max(1);
+            return self.away(task) < budget && self.has_room_elsewhere(task);
+        }
+        spec.saves && run.percent < NEARLY_DONE && self.has_room_elsewhere(task)
+    }
+
+    /// Other tasks of the step that are not at work.
+    fn away(&self, task: &TaskRef) -> usize {
+        let Some(job) = self.jobs.get(&task.at.job) else { return usize::MAX };
+        let Some(step) = job.turn(task.at.turn).and_then(|t| t.steps.get(task.at.step as usize)) else {
+            return usize::MAX;
+        };
+        let at_work = |index: u32, key: WorkerKey| {
+            let at = TaskRef { at: task.at, index };
+            self.workers[key as usize]
+                .runs
+                .get(&at)
+                .is_some_and(|r| matches!(r.phase, RunPhase::Running(_)) && r.percent >= AT_WORK)
+        };
+        (0..)
+            .zip(&step.tasks)
+            .filter(|(index, _)| *index != task.index)
+            .filter(|(index, t)| !matches!(t.stage, Stage::Placed(key) if at_work(*index, key)))
+            .count()
+    }
+
+    fn has_room_elsewhere(&self, task: &TaskRef) -> bool {
+        let Some(job) = self.jobs.get(&task.at.job) else { return false };
+        let Some(spec) = job.spec.steps.get(task.at.step as usize) else { return false };
+        self.choose(task, spec, &[]).is_some()
+    }
+}
--- a/components/shard/src/ends.rs
+++ b/components/shard/src/ends.rs
@@ -184,7 +184,8 @@
         self.set_stage(&task, Stage::Waiting);
         self.with_task(&task, |t| t.not_before = at);
         let open = self.jobs.get(&task.at.job).is_some_and(|j| {
-            j.verdict == Verdict::Open && j.turn(task.at.turn).is_some_and(|t| t.released(&j.spec, task.at.step))
+            j.verdict == Verdict::Open
+                && j.turn(task.at.turn).is_some_and(|t| t.released(&j.spec, task.at.step))
         });
         if open {
             self.ready.insert(task.at);
--- a/components/shard/src/intake.rs
+++ b/components/shard/src/intake.rs
@@ -100,7 +100,9 @@
             }
             let next = job.turns.iter().map(|t| t.number + 1).chain(job.complete.iter().map(|n| n + 1));
             let mut number = next.max().unwrap_or(0);
-            while number < repeat.times && repeat.first + u64::from(number) * repeat.every <= wall + OPEN_AHEAD {
+            while number < repeat.times
+                && repeat.first + u64::from(number) * repeat.every <= wall + OPEN_AHEAD
+            {
                 due.push((key, number));
                 number += 1;
             }
--- a/components/shard/src/lib.rs
+++ b/components/shard/src/lib.rs
@@ -9,6 +9,7 @@
 //! fencing token, and waits out the leases of those that do not answer.
 
 mod cancel;
+mod drain;
 mod ends;
 mod health;
 mod intake;
--- a/components/shard/src/load.rs
+++ b/components/shard/src/load.rs
@@ -86,7 +86,12 @@
                 }
             }
         }
-        tracing::info!(epoch = self.epoch, tasks = tasks.len(), jobs = self.jobs.len(), "shard: take-over settled");
+        tracing::info!(
+            epoch = self.epoch,
+            tasks = tasks.len(),
+            jobs = self.jobs.len(),
+            "shard: take-over settled"
+        );
         for task in tasks {
             self.requeue(task, self.now);
         }
--- a/components/shard/src/machine.rs
+++ b/components/shard/src/machine.rs
@@ -325,6 +325,7 @@
         self.settle();
         self.forget_old();
         if may_start {
+            self.move_away();
             self.place_all();
         }
         self.send_stops();
--- a/components/shard/src/order.rs
+++ b/components/shard/src/order.rs
@@ -19,11 +19,8 @@
 impl Shard {
     /// Steps with tasks to start, first things first.
     pub(crate) fn ranked(&self) -> Vec<StepRef> {
-        let mut steps: Vec<((Rank, u32, Ms), StepRef)> = self
-            .ready
-            .iter()
-            .filter_map(|&at| Some((self.rank(self.jobs.get(&at.job)?, at), at)))
-            .collect();
+        let mut steps: Vec<((Rank, u32, Ms), StepRef)> =
+            self.ready.iter().filter_map(|&at| Some((self.rank(self.jobs.get(&at.job)?, at), at))).collect();
         steps.sort_unstable();
         steps.into_iter().map(|(_, at)| at).collect()
     }
--- a/components/shard/src/place.rs
+++ b/components/shard/src/place.rs
@@ -156,9 +156,10 @@
     }
 
     /// The best worker with room for a task.
-    fn choose(&self, task: &TaskRef, spec: &StepSpec, claimed: &[WorkerKey]) -> Option<WorkerKey> {
+    pub(crate) fn choose(&self, task: &TaskRef, spec: &StepSpec, claimed: &[WorkerKey]) -> Option<WorkerKey> {
         let job = self.jobs.get(&task.at.job)?;
-        let entry = job.turn(task.at.turn)?.steps.get(task.at.step as usize)?.tasks.get(task.index as usize)?;
+        let entry =
+            job.turn(task.at.turn)?.steps.get(task.at.step as usize)?.tasks.get(task.index as usize)?;
         let room = spec.room();
         let mut best: Option<((bool, bool, u64, u64), WorkerKey)> = None;
         for (key, worker) in (0..).zip(&self.workers) {
--- a/components/shard/src/view.rs
+++ b/components/shard/src/view.rs
@@ -77,10 +77,4 @@
     pub fn loads(&self) -> Vec<(String, usize)> {
         self.workers.iter().filter(|w| !w.gone).map(|w| (w.info.id.clone(), w.runs.len())).collect()
     }
-
-    pub(crate) fn cordon(&mut self, id: &str, on: bool) {
-        if let Some(key) = self.worker_key(id) {
-            self.workers[key as usize].cordoned = on;
-        }
-    }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -8,7 +8,11 @@
 
 fn main() -> ExitCode {
     let flags = cli::Lagoonrelay::read_or_exit();
-    logging::start(flags.log_format.unwrap_or_default());
+    let format = flags.log_format.unwrap_or_default();
+    match flags.subcommand {
+        cli::LagoonrelayCmd::Relay(_) => logging::start_collected(format),
+        _ => logging::start(format),
+    }
     match cmd::run(flags.subcommand) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
