--- a/components/relay/src/edge.rs
+++ b/components/relay/src/edge.rs
@@ -90,7 +90,7 @@
     /// Starts a run.
     fn start<'a>(&'a self, order: &'a StartOrder, fence: u64) -> Call<'a, StartReply>;
 
-    /// Stops a run or bars it; true once the worker has answered that.
+    /// Stops a run or bars it; false if a higher fencing token was seen there.
     fn stop<'a>(&'a self, worker: &'a str, addr: &'a str, run: (&'a str, u32), fence: u64) -> Call<'a, bool>;
 
     /// Sets a run's speed.
--- a/components/relay/src/owner.rs
+++ b/components/relay/src/owner.rs
@@ -277,7 +277,10 @@
             Action::Refused(ticket) => self.answer(ticket, Kind::Refused),
             Action::Unknown(ticket) => self.answer(ticket, Kind::Unknown),
             Action::Start(order) => self.start(order),
-            Action::Stop { worker, addr, name, run } => self.stop(worker, addr, name, run),
+            Action::Stop { worker, addr, name, run, why } => {
+                tracing::info!(%worker, task = %name, run, ?why, "owner: stop");
+                self.stop(worker, addr, name, run);
+            }
             Action::Pace { worker, addr, name, run, percent } => {
                 let (orders, fence) = (Arc::clone(&self.around.orders), self.shard.epoch());
                 tokio::spawn(async move {
@@ -301,7 +304,7 @@
                 Err(fault) if fault.verdict == ::edge::Verdict::NotRun => StartReply::NotSent,
                 Err(_) => StartReply::NoAnswer,
             };
-            tracing::debug!(task = %order.name, run = order.run, worker = %order.worker, ?reply, "owner: start");
+            tracing::info!(task = %order.name, run = order.run, worker = %order.worker, ?reply, "owner: start");
             let input = Input::Started { worker: order.worker, name: order.name, run: order.run, reply };
             tell(&letters, input).await;
         });
@@ -314,7 +317,7 @@
             let task = name.to_string();
             match orders.stop(&worker, &addr, (&task, run), fence).await {
                 Ok(true) => tell(&letters, Input::Stopped { worker, name, run }).await,
-                Ok(false) => tracing::info!(%worker, %task, run, "owner: stop refused"),
+                Ok(false) => tell(&letters, Input::LookFailed { worker, other: false, fenced: true }).await,
                 Err(error) => tracing::info!(%worker, %task, run, %error, "owner: stop not answered"),
             }
         });
--- a/components/shard/src/cancel.rs
+++ b/components/shard/src/cancel.rs
@@ -3,7 +3,7 @@
 use crate::job::TaskRef;
 use crate::machine::{Action, Shard};
 use crate::model::Verdict;
-use crate::worker::{Contact, RunPhase};
+use crate::worker::{Contact, RunPhase, StopCause};
 
 impl Shard {
     pub(crate) fn cancel(&mut self, ticket: u64, id: &str) {
@@ -40,11 +40,17 @@
             let worker = &mut self.workers[key];
             let Some(run) = worker.runs.get_mut(&task) else { continue };
             run.stop_sent = now;
+            let why = match run.phase {
+                RunPhase::Unclear => StopCause::Unanswered,
+                RunPhase::Stopping => run.why,
+                _ => StopCause::JobEnded,
+            };
             self.actions.push(Action::Stop {
                 worker: worker.info.id.clone(),
                 addr: worker.info.addr.clone(),
                 name,
                 run: run.number,
+                why,
             });
         }
         self.stop_strangers();
@@ -69,6 +75,7 @@
                     addr: worker.info.addr.clone(),
                     name: name.clone(),
                     run,
+                    why: StopCause::Stranger,
                 });
                 // Kept until a look does not list it any more.
                 worker.rest_until = worker.rest_until.max(self.now + self.limits.stop_again);
--- a/components/shard/src/drain.rs
+++ b/components/shard/src/drain.rs
@@ -2,7 +2,7 @@
 
 use crate::job::{Stage, TaskRef};
 use crate::machine::{Phase, Shard};
-use crate::worker::{Contact, RunPhase, WorkerKey};
+use crate::worker::{Contact, RunPhase, StopCause, WorkerKey};
 
 /// A checkpointing run beyond this percentage ends soon by itself.
 const NEARLY_DONE: u32 = 80;
@@ -45,7 +45,7 @@
                 if self.may_move(key, &task)
                     && let Some(run) = self.workers[key as usize].runs.get_mut(&task)
                 {
-                    run.phase = RunPhase::Stopping;
+                    run.stop(StopCause::Maintenance);
                 }
             }
         }
--- a/components/shard/src/ends.rs
+++ b/components/shard/src/ends.rs
@@ -5,7 +5,7 @@
 use crate::machine::Shard;
 use crate::model::Verdict;
 use crate::report::{EndRow, How};
-use crate::worker::{Run, RunPhase, WorkerKey};
+use crate::worker::{Run, StopCause, WorkerKey};
 
 /// Pause before a lasting task is started again, for each failure so far, in milliseconds.
 const AGAIN: Ms = 100;
@@ -37,7 +37,7 @@
         }
         let here = self.stage(&task) == Some(Stage::Placed(key));
         if current && here {
-            let stalled = run.is_some_and(|r| r.stalled);
+            let stalled = run.is_some_and(|r| r.why == StopCause::Stalled);
             self.with_task(&task, |t| {
                 if stalled && !t.avoid.contains(&key) {
                     t.avoid.push(key);
@@ -81,7 +81,7 @@
         if let Some(Stage::Placed(other)) = self.stage(task)
             && let Some(run) = self.workers[other as usize].runs.get_mut(task)
         {
-            run.phase = RunPhase::Stopping;
+            run.stop(StopCause::Superseded);
         }
         self.set_stage(task, Stage::Done);
     }
--- a/components/shard/src/health.rs
+++ b/components/shard/src/health.rs
@@ -3,7 +3,7 @@
 use crate::Ms;
 use crate::job::TaskRef;
 use crate::machine::{Shard, StartReply};
-use crate::worker::{Contact, RunPhase, WorkerKey};
+use crate::worker::{Contact, RunPhase, StopCause, WorkerKey};
 
 /// Pause before an unanswered look is sent again, in milliseconds.
 pub(crate) const RETRY: Ms = 250;
@@ -68,8 +68,7 @@
             .collect();
         for task in &stalled {
             if let Some(run) = worker.runs.get_mut(task) {
-                run.phase = RunPhase::Stopping;
-                run.stalled = true;
+                run.stop(StopCause::Stalled);
                 tracing::info!(worker = %worker.info.id, ?task, percent = run.percent, "shard: run stands still");
             }
         }
--- a/components/shard/src/lib.rs
+++ b/components/shard/src/lib.rs
@@ -30,7 +30,7 @@
 pub use record::{Record, WorkerRecord};
 pub use report::{EndRow, How, Report, RunRow};
 pub use view::{JobState, Usage};
-pub use worker::WorkerInfo;
+pub use worker::{StopCause, WorkerInfo};
 
 /// Milliseconds on the owner's steady clock, which also counts while the machine is suspended.
 pub type Ms = u64;
--- a/components/shard/src/machine.rs
+++ b/components/shard/src/machine.rs
@@ -7,7 +7,7 @@
 use crate::model::{JobSpec, Res};
 use crate::record::{self, Record};
 use crate::report::Report;
-use crate::worker::{Contact, Worker, WorkerInfo, WorkerKey};
+use crate::worker::{Contact, StopCause, Worker, WorkerInfo, WorkerKey};
 
 /// Bounds of the platform and limits derived from them, in milliseconds unless named otherwise.
 #[derive(Clone, Copy, Debug)]
@@ -161,6 +161,8 @@
         name: crate::RunName,
         /// Run number.
         run: u32,
+        /// Cause, for the log.
+        why: StopCause,
     },
     /// Set the speed of a run.
     Pace {
@@ -328,7 +330,9 @@
             self.move_away();
             self.place_all();
         }
-        self.send_stops();
+        if may_start {
+            self.send_stops();
+        }
         self.flush();
         if may_start {
             self.send_looks();
--- a/components/shard/src/report.rs
+++ b/components/shard/src/report.rs
@@ -6,7 +6,7 @@
 use crate::job::{Stage, TaskRef};
 use crate::machine::{Shard, StartReply};
 use crate::model::RunName;
-use crate::worker::{Contact, Run, RunPhase, WorkerKey};
+use crate::worker::{Contact, Run, RunPhase, StopCause, WorkerKey};
 
 /// How a run ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -175,7 +175,7 @@
                 && other != key
                 && let Some(old) = self.workers[other as usize].runs.get_mut(&task)
             {
-                old.phase = RunPhase::Stopping;
+                old.stop(StopCause::Superseded);
             }
             self.set_stage(&task, Stage::Placed(key));
             self.with_task(&task, |t| t.run = t.run.max(number));
@@ -183,7 +183,7 @@
                 job.started = true;
             }
         } else {
-            run.phase = RunPhase::Stopping;
+            run.stop(StopCause::Superseded);
         }
         if let Some(old) = self.workers[key as usize].take(&task) {
             self.uncharge(&old);
@@ -214,7 +214,7 @@
             pace: 100,
             paced: 0,
             stop_sent: 0,
-            stalled: false,
+            why: StopCause::None,
         })
     }
 
--- a/components/shard/src/worker.rs
+++ b/components/shard/src/worker.rs
@@ -63,8 +63,35 @@
     pub paced: Ms,
     /// When the last stop was sent; 0 if none was.
     pub stop_sent: Ms,
-    /// Stopped because it stands still, not by wish of the caller.
-    pub stalled: bool,
+    /// Why it is to be stopped.
+    pub why: StopCause,
+}
+
+/// Why a run is stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StopCause {
+    /// It is not.
+    None,
+    /// Its job has ended.
+    JobEnded,
+    /// Its start was not answered.
+    Unanswered,
+    /// The task is done, or runs elsewhere.
+    Superseded,
+    /// It stands still.
+    Stalled,
+    /// Its worker is emptied for maintenance.
+    Maintenance,
+    /// No job of the shard explains it.
+    Stranger,
+}
+
+impl Run {
+    /// Marks the run as one to stop.
+    pub const fn stop(&mut self, why: StopCause) {
+        self.phase = RunPhase::Stopping;
+        self.why = why;
+    }
 }
 
 /// Whether a worker's own word on its runs is known.
