--- a/components/shard/src/drain.rs
+++ b/components/shard/src/drain.rs
@@ -73,10 +73,10 @@
         };
         let at_work = |index: u32, key: WorkerKey| {
             let at = TaskRef { at: task.at, index };
-            self.workers[key as usize]
-                .runs
-                .get(&at)
-                .is_some_and(|r| matches!(r.phase, RunPhase::Running(_)) && r.percent >= AT_WORK)
+            let worker = &self.workers[key as usize];
+            // What a silent worker said last may be long over.
+            let run = worker.runs.get(&at).filter(|_| worker.contact == Contact::Good);
+            run.is_some_and(|r| matches!(r.phase, RunPhase::Running(_)) && r.percent >= AT_WORK)
         };
         (0..)
             .zip(&step.tasks)
