An owner that is not sure of its shard answers that it is none

Ruled out: a lost cancellation record (none was asked for). Change: asked() checks the standing first.

--- a/components/relay/src/owner.rs
+++ b/components/relay/src/owner.rs
@@ -216,6 +216,11 @@
     }
 
     fn asked(&mut self, want: Want, reply: oneshot::Sender<Reply>) {
+        if !self.around.standing.borrow().sure() {
+            // Another daemon may own the shard and know more.
+            let _ = reply.send(Reply::of(Kind::NotOwner));
+            return;
+        }
         let answer = match want {
             Want::Submit(spec) => return self.submit(spec, reply),
             Want::Cancel(id) => {
