Divide customers' limits by want instead of evenly

Ruled out: room on workers (most was free). Change: a broker at the holder of the duty divides limits between shards; a holder reports what it holds, uses and wants. No starts beyond a held part.

--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -19,4 +19,4 @@
 pub use clock::{steady_ms, wall_ms};
 pub use member::TTL_MS;
 pub use node::{Node, Outcome, Parts};
-pub use setup::{Customer, Pool, Queue, Setup, Wave};
+pub use setup::{Customer, NO_LIMIT, Pool, Queue, Setup, Wave};
--- a/components/relay/src/node.rs
+++ b/components/relay/src/node.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
+use rights::Broker;
 use shard::{JobSpec, JobState, Limits};
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
@@ -17,7 +18,7 @@
 use crate::member::{self, Standing};
 use crate::mesh::{self, Mesh, MeshFault};
 use crate::owner::{Owner, Surroundings};
-use crate::reply::{Kind, Reply, Want};
+use crate::reply::{Kind, Reply, RightsReport, Want};
 use crate::roster::{self, Roster};
 use crate::setup::Setup;
 use crate::watch::{self as documents, Wishes};
@@ -86,6 +87,7 @@
     last_epoch: Mutex<u64>,
     leave_by: Mutex<Option<Instant>>,
     duty: Mutex<Option<(u64, tokio::task::JoinHandle<()>)>>,
+    broker: Mutex<(u64, Broker)>,
 }
 
 impl Node {
@@ -113,6 +115,7 @@
             last_epoch: Mutex::default(),
             leave_by: Mutex::default(),
             duty: Mutex::default(),
+            broker: Mutex::default(),
         });
         tokio::spawn(Arc::clone(&node).keep_shards());
         tokio::spawn(Arc::clone(&node).keep_owners());
@@ -205,6 +208,9 @@
     }
 
     async fn ask_here(&self, part: u32, want: Want) -> Reply {
+        if let Want::Rights(report) = want {
+            return self.divide(part, report);
+        }
         let owner = self.owned.lock().get(&part).filter(|o| !o.ended()).cloned();
         match owner {
             Some(owner) => owner.ask(want).await,
@@ -232,6 +238,33 @@
         current && standing.sure() && standing.share.parts.contains(&part)
     }
 
+    /// Reports what a shard holds of the customers' limits, and gives its new parts.
+    pub(crate) async fn report_rights(&self, report: RightsReport, within: Duration) -> Option<Reply> {
+        let part = self.parts.parts - 1;
+        let reply = self.ask_once(part, Want::Rights(report), within).await.ok();
+        let reply = reply.filter(|r| r.kind() == Kind::Rights);
+        if reply.is_none() {
+            self.stale.notify_one();
+        }
+        reply
+    }
+
+    /// Answers a report of a shard, while this daemon has the duty.
+    fn divide(&self, part: u32, report: RightsReport) -> Reply {
+        let epoch = self.duty.lock().as_ref().map(|(e, _)| *e);
+        let (Some(epoch), Some(setup)) = (epoch, self.setup()) else { return Reply::of(Kind::NotOwner) };
+        if !self.holds(part, epoch) {
+            return Reply::of(Kind::NotOwner);
+        }
+        let mut slot = self.broker.lock();
+        if slot.0 != epoch {
+            *slot = (epoch, Broker::default());
+        }
+        let shards = setup.parts(self.parts.parts - 1).into_values().collect();
+        slot.1.configure(setup.limits(), shards);
+        slot.1.report(&report.into()).map_or(Reply::of(Kind::NotOwner), Reply::rights)
+    }
+
     /// Asks a worker's shard to empty it; gives the runs that are left, if that is known.
     pub async fn empty(&self, service: &str, worker: &str, within: Duration) -> Option<usize> {
         let want = Want::Empty(worker.to_owned());
@@ -311,8 +344,9 @@
         epoch
     }
 
-    fn around(&self) -> Surroundings {
+    fn around(self: &Arc<Self>) -> Surroundings {
         Surroundings {
+            node: Arc::clone(self),
             store: Arc::clone(&self.parts.store),
             orders: Arc::clone(&self.parts.orders),
             limits: self.parts.limits,
@@ -357,6 +391,6 @@
         Kind::Unknown => Some(Outcome::Unknown),
         Kind::State => reply.as_state().map(Outcome::State),
         Kind::Count => Some(Outcome::Count(reply.value)),
-        Kind::Unset | Kind::NotOwner | Kind::Unsure => None,
+        Kind::Unset | Kind::Rights | Kind::NotOwner | Kind::Unsure => None,
     }
 }
--- a/components/relay/src/owner.rs
+++ b/components/relay/src/owner.rs
@@ -4,14 +4,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use shard::{Action, Input, JobSpec, Limits, Record, Shard, StartReply, WorkerInfo};
+use rights::{Grant, Holder};
+use shard::{Action, Input, JobSpec, Limits, Phase, Record, Shard, StartReply, WorkerInfo};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
 
 use crate::clock::{steady_ms, wall_ms};
 use crate::edge::{Appended, Look, Looked, Orders, Store};
 use crate::member::Standing;
-use crate::node::EPOCHS;
+use crate::node::{EPOCHS, Node};
 use crate::reply::{Kind, Reply, Want};
 use crate::roster::Roster;
 use crate::watch::Wishes;
@@ -24,6 +25,12 @@
 const APPEND_AGAIN: Duration = Duration::from_millis(100);
 /// Tries of an append whose outcome is certain each time, before new jobs of the batch are refused.
 const BUSY_TRIES: u32 = 2;
+/// Pause between reports to the broker of limits while a start waits for one.
+const RIGHTS_SOON: Duration = Duration::from_millis(20);
+/// Pause between reports otherwise; what is not used is given back this late.
+const RIGHTS_EVERY: Duration = Duration::from_millis(400);
+/// Time in which the broker answers.
+const RIGHTS_ANSWER: Duration = Duration::from_millis(300);
 /// Requests and inputs that wait for one shard.
 const MAILBOX: usize = 8_192;
 
@@ -34,6 +41,8 @@
     Ask(Want, oneshot::Sender<Reply>),
     /// An input of the state machine.
     Input(Input),
+    /// The broker's answer to a report, by its number; `None` if none came.
+    Rights(u64, Option<Vec<Grant>>),
     /// End ownership.
     Stop,
 }
@@ -47,6 +56,8 @@
 /// What a shard's driver needs.
 #[derive(Clone, Debug)]
 pub struct Surroundings {
+    /// This daemon, for what others know.
+    pub node: Arc<Node>,
     /// The platform's store.
     pub store: Arc<dyn Store>,
     /// Orders to workers.
@@ -142,12 +153,29 @@
     next_ticket: u64,
     sequence: u64,
     lapses: u64,
+    rights: Holder,
+    /// When the last report was sent; it is answered if `reported` is false.
+    report_at: Instant,
+    reported: bool,
 }
 
 impl Driver {
     fn new(part: u32, shard: Shard, around: Surroundings, letters: mpsc::Sender<Letter>) -> Self {
         let lapses = around.standing.borrow().lapses;
-        Self { part, shard, around, letters, tickets: HashMap::new(), next_ticket: 0, sequence: 0, lapses }
+        let rights = Holder::new(part, shard.epoch());
+        Self {
+            part,
+            shard,
+            around,
+            letters,
+            tickets: HashMap::new(),
+            next_ticket: 0,
+            sequence: 0,
+            lapses,
+            rights,
+            report_at: Instant::now(),
+            reported: false,
+        }
     }
 
     async fn run(mut self, mut inbox: mpsc::Receiver<Letter>) {
@@ -197,6 +225,7 @@
             }
             self.act(action);
         }
+        self.report_rights();
         true
     }
 
@@ -204,6 +233,13 @@
         match letter {
             Letter::Ask(want, reply) => self.asked(want, reply),
             Letter::Input(input) => self.input(input),
+            Letter::Rights(number, grants) => {
+                self.reported = false;
+                if let Some(grants) = grants {
+                    self.rights.granted(number, grants);
+                    self.input(Input::Allowed(self.rights.allowed()));
+                }
+            }
             Letter::Stop => {}
         }
     }
@@ -232,6 +268,8 @@
                 self.input(Input::Cordon { worker: worker.clone(), on: true });
                 self.shard.left(&worker).map_or(Reply::of(Kind::Unset), Reply::count)
             }
+            // The broker answers this, not a shard.
+            Want::Rights(_) => Reply::of(Kind::Unset),
             Want::Waiting(queue) => Reply::count(self.shard.waiting(&queue)),
         };
         // The caller may have gone.
@@ -260,9 +298,31 @@
         let wishes = self.around.wishes.borrow_and_update().clone();
         self.input(Input::ZonesOut(wishes.zones_out));
         let Some(setup) = wishes.setup else { return };
-        let shards = u64::try_from(setup.parts(self.around.parts).len()).unwrap_or(1).max(1);
-        let allowed = setup.customers.iter().map(|c| (c.name.clone(), split(&c.limit, shards))).collect();
-        self.input(Input::Allowed(allowed));
+        self.rights.configure(setup.limits());
+        self.input(Input::Allowed(self.rights.allowed()));
+    }
+
+    /// Reports to the broker of limits: at once when a start waits for it, else now and then.
+    fn report_rights(&mut self) {
+        if self.reported || self.shard.phase() != Phase::Settled {
+            return;
+        }
+        let pause = if self.shard.short() { RIGHTS_SOON } else { RIGHTS_EVERY };
+        if Instant::now() < self.report_at + pause {
+            return;
+        }
+        self.report_at = Instant::now();
+        self.reported = true;
+        let report = self.rights.report(&self.shard.usage());
+        // What was given back with the report must not be used any more.
+        self.input(Input::Allowed(self.rights.allowed()));
+        let number = report.number;
+        let (node, letters) = (Arc::clone(&self.around.node), self.letters.clone());
+        tokio::spawn(async move {
+            let reply = node.report_rights(report.into(), RIGHTS_ANSWER).await;
+            // The driver may have ended.
+            drop(letters.send(Letter::Rights(number, reply.map(Reply::into_grants))).await);
+        });
     }
 
     fn learn_roster(&mut self) {
@@ -389,12 +449,6 @@
     }
 }
 
-/// Part of a limit; 0 stays no limit.
-fn split(limit: &shard::Res, shards: u64) -> shard::Res {
-    let part = |v: u64| if v == 0 { 0 } else { (v / shards).max(1) };
-    shard::Res { cpu: part(limit.cpu), mem: part(limit.mem), gpu: part(limit.gpu) }
-}
-
 async fn tell(letters: &mpsc::Sender<Letter>, input: Input) {
     // The driver may have ended.
     drop(letters.send(Letter::Input(input)).await);
--- a/components/relay/src/reply.rs
+++ b/components/relay/src/reply.rs
@@ -1,6 +1,6 @@
 //! Requests between daemons and their answers, as they travel over the mesh.
 
-use shard::{JobSpec, JobState};
+use shard::{JobSpec, JobState, Res};
 
 /// A request to the owner of a shard.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -12,7 +12,7 @@
     #[prost(uint32, tag = "2")]
     pub part: u32,
     /// What is asked.
-    #[prost(oneof = "Want", tags = "3, 4, 5, 6, 7")]
+    #[prost(oneof = "Want", tags = "3, 4, 5, 6, 7, 8")]
     pub want: Option<Want>,
 }
 
@@ -34,6 +34,90 @@
     /// Empty a worker and count the runs that are left.
     #[prost(string, tag = "7")]
     Empty(String),
+    /// Divide the customers' limits.
+    #[prost(message, tag = "8")]
+    Rights(RightsReport),
+}
+
+/// An amount.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct Amount {
+    /// Thousandths of a core.
+    #[prost(uint64, tag = "1")]
+    pub cpu: u64,
+    /// Memory in MiB.
+    #[prost(uint64, tag = "2")]
+    pub mem: u64,
+    /// Accelerators.
+    #[prost(uint64, tag = "3")]
+    pub gpu: u64,
+}
+
+impl From<Res> for Amount {
+    fn from(res: Res) -> Self {
+        Self { cpu: res.cpu, mem: res.mem, gpu: res.gpu }
+    }
+}
+
+impl From<Amount> for Res {
+    fn from(amount: Amount) -> Self {
+        Self { cpu: amount.cpu, mem: amount.mem, gpu: amount.gpu }
+    }
+}
+
+/// A customer's row of a report or of its answer.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct RightsRow {
+    /// Customer.
+    #[prost(string, tag = "1")]
+    pub customer: String,
+    /// Held part of its limit.
+    #[prost(message, required, tag = "2")]
+    pub holds: Amount,
+    /// More that is wanted.
+    #[prost(message, required, tag = "3")]
+    pub wants: Amount,
+}
+
+/// What a shard's owner holds of the customers' limits.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct RightsReport {
+    /// Shard.
+    #[prost(uint32, tag = "1")]
+    pub part: u32,
+    /// Owner's epoch.
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+    /// Number of the report.
+    #[prost(uint64, tag = "3")]
+    pub number: u64,
+    /// Customers.
+    #[prost(message, repeated, tag = "4")]
+    pub rows: Vec<RightsRow>,
+}
+
+impl From<rights::Report> for RightsReport {
+    fn from(report: rights::Report) -> Self {
+        let row = |c: rights::Claim| RightsRow {
+            customer: c.customer,
+            holds: c.holds.into(),
+            wants: c.wants.into(),
+        };
+        let rows = report.claims.into_iter().map(row).collect();
+        Self { part: report.part, epoch: report.epoch, number: report.number, rows }
+    }
+}
+
+impl From<RightsReport> for rights::Report {
+    fn from(report: RightsReport) -> Self {
+        let claim = |r: RightsRow| rights::Claim {
+            customer: r.customer,
+            holds: r.holds.into(),
+            wants: r.wants.into(),
+        };
+        let claims = report.rows.into_iter().map(claim).collect();
+        Self { part: report.part, epoch: report.epoch, number: report.number, claims }
+    }
 }
 
 /// Kinds of answer.
@@ -56,10 +140,12 @@
     State = 6,
     /// Number: see `value`.
     Count = 7,
+    /// Parts of limits: see `rows`.
+    Rights = 8,
 }
 
 /// An answer.
-#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+#[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Reply {
     /// Id of the request.
     #[prost(uint64, tag = "1")]
@@ -70,19 +156,22 @@
     /// State or count.
     #[prost(uint64, tag = "3")]
     pub value: u64,
+    /// Parts of limits.
+    #[prost(message, repeated, tag = "4")]
+    pub rows: Vec<RightsRow>,
 }
 
 impl Reply {
     /// An answer without a value.
     #[must_use]
     pub const fn of(kind: Kind) -> Self {
-        Self { id: 0, kind: kind as i32, value: 0 }
+        Self { id: 0, kind: kind as i32, value: 0, rows: Vec::new() }
     }
 
     /// A count.
     #[must_use]
     pub fn count(count: usize) -> Self {
-        Self { id: 0, kind: Kind::Count as i32, value: count as u64 }
+        Self { value: count as u64, ..Self::of(Kind::Count) }
     }
 
     /// A job's state.
@@ -95,7 +184,25 @@
             JobState::Failed => 3,
             JobState::Cancelled => 4,
         };
-        Self { id: 0, kind: Kind::State as i32, value }
+        Self { id: 0, kind: Kind::State as i32, value, rows: Vec::new() }
+    }
+
+    /// New parts of limits.
+    #[must_use]
+    pub fn rights(grants: Vec<rights::Grant>) -> Self {
+        let row = |g: rights::Grant| RightsRow {
+            customer: g.customer,
+            holds: g.holds.into(),
+            wants: Amount::default(),
+        };
+        Self { rows: grants.into_iter().map(row).collect(), ..Self::of(Kind::Rights) }
+    }
+
+    /// Reads new parts of limits.
+    #[must_use]
+    pub fn into_grants(self) -> Vec<rights::Grant> {
+        let grant = |r: RightsRow| rights::Grant { customer: r.customer, holds: r.holds.into() };
+        self.rows.into_iter().map(grant).collect()
     }
 
     /// Reads a state.
--- a/components/relay/src/setup.rs
+++ b/components/relay/src/setup.rs
@@ -1,10 +1,13 @@
 //! Configuration as operators publish it, in the product's terms.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::hash::{Hash, Hasher};
 
 use shard::Res;
 
+/// Amount that stands for no limit: far above any fleet, far below an overflow of sums.
+pub const NO_LIMIT: u64 = 1 << 50;
+
 /// A queue: where callers submit jobs.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Queue {
@@ -46,7 +49,7 @@
     pub keys: Vec<String>,
     /// Share when all is full.
     pub weight: u64,
-    /// Most it may have running; 0 means no limit.
+    /// Most it may have running.
     pub limit: Res,
 }
 
@@ -97,6 +100,12 @@
         self.customers.iter().find(|c| c.keys.iter().any(|k| k == key))
     }
 
+    /// Each customer's limit.
+    #[must_use]
+    pub fn limits(&self) -> BTreeMap<String, Res> {
+        self.customers.iter().map(|c| (c.name.clone(), c.limit)).collect()
+    }
+
     /// Partition of each service. A service keeps its partition while the services before it in the
     /// alphabet stay.
     #[must_use]
--- a/components/shard/src/machine.rs
+++ b/components/shard/src/machine.rs
@@ -241,6 +241,8 @@
     /// Earliest time at which something is due without an input.
     pub(crate) schedule: bool,
     pub(crate) fenced: bool,
+    /// A task could start but for its customer's limit.
+    pub(crate) short: bool,
 }
 
 /// A batch on its way to the log.
@@ -279,6 +281,7 @@
             actions: Vec::new(),
             schedule: true,
             fenced: false,
+            short: false,
         }
     }
 
@@ -288,6 +291,12 @@
         self.phase
     }
 
+    /// A task could have started in the last step but for its customer's limit.
+    #[must_use]
+    pub const fn short(&self) -> bool {
+        self.short
+    }
+
     /// Owner's epoch, the fencing token of its orders.
     #[must_use]
     pub const fn epoch(&self) -> u64 {
@@ -322,6 +331,7 @@
         if self.fenced {
             return vec![Action::Lost];
         }
+        self.short = false;
         self.open_turns();
         self.lapse();
         self.settle();
--- a/components/shard/src/model.rs
+++ b/components/shard/src/model.rs
@@ -21,14 +21,6 @@
         self.cpu <= room.cpu && self.mem <= room.mem && self.gpu <= room.gpu
     }
 
-    /// True if all of `self` fits into `limit`, where 0 means no limit.
-    #[must_use]
-    pub const fn within(&self, limit: &Self) -> bool {
-        (limit.cpu == 0 || self.cpu <= limit.cpu)
-            && (limit.mem == 0 || self.mem <= limit.mem)
-            && (limit.gpu == 0 || self.gpu <= limit.gpu)
-    }
-
     /// What is left of `self` after `other` is taken, at least nothing.
     #[must_use]
     pub const fn less(&self, other: &Self) -> Self {
--- a/components/shard/src/place.rs
+++ b/components/shard/src/place.rs
@@ -58,7 +58,10 @@
         for index in tasks {
             match self.place_task(TaskRef { at, index }, &spec, claimed) {
                 Placed::Yes => {}
-                Placed::OverLimit => return true,
+                Placed::OverLimit => {
+                    self.short = true;
+                    return true;
+                }
                 Placed::NoRoom => {
                     self.claim(at, &spec, claimed);
                     return false;
@@ -152,7 +155,7 @@
         }
         let Some(allowed) = self.allowed.get(tenant) else { return false };
         let charged = self.charged.get(tenant).copied().unwrap_or_default();
-        (charged + spec.charge()).within(allowed)
+        (charged + spec.charge()).fits(allowed)
     }
 
     /// The best worker with room for a task.
