--- a/components/relay/src/owner.rs
+++ b/components/relay/src/owner.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use rights::{Grant, Holder};
-use shard::{Action, Input, JobSpec, Limits, Phase, Record, Shard, StartReply, WorkerInfo};
+use shard::{Action, Input, JobSpec, Limits, Record, Shard, StartReply, WorkerInfo};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
 
@@ -304,7 +304,7 @@
 
     /// Reports to the broker of limits: at once when a start waits for it, else now and then.
     fn report_rights(&mut self) {
-        if self.reported || self.shard.phase() != Phase::Settled {
+        if self.reported {
             return;
         }
         let pause = if self.shard.short() { RIGHTS_SOON } else { RIGHTS_EVERY };
--- a/components/shard/src/cancel.rs
+++ b/components/shard/src/cancel.rs
@@ -59,7 +59,7 @@
     fn unwanted(&self, task: &TaskRef, phase: RunPhase) -> bool {
         match phase {
             RunPhase::Stopping | RunPhase::Unclear => true,
-            RunPhase::Stopped(_) | RunPhase::Sent => false,
+            RunPhase::Planned | RunPhase::Inherited | RunPhase::Stopped(_) | RunPhase::Sent => false,
             RunPhase::Running(_) => {
                 let job = self.jobs.get(&task.at.job);
                 job.is_none_or(|j| j.verdict != Verdict::Open && j.shown == j.verdict)
--- a/components/shard/src/drain.rs
+++ b/components/shard/src/drain.rs
@@ -1,7 +1,7 @@
 //! Emptying a worker for maintenance without breaking a disruption budget.
 
 use crate::job::{Stage, TaskRef};
-use crate::machine::{Phase, Shard};
+use crate::machine::Shard;
 use crate::worker::{Contact, RunPhase, StopCause, WorkerKey};
 
 /// A checkpointing run beyond this percentage ends soon by itself.
@@ -19,9 +19,6 @@
     /// Runs on a worker, if that is known for sure. A worker that is not known has none.
     #[must_use]
     pub fn left(&self, id: &str) -> Option<usize> {
-        if self.phase != Phase::Settled {
-            return None;
-        }
         let Some(key) = self.worker_key(id) else { return Some(0) };
         let worker = &self.workers[key as usize];
         if worker.gone {
@@ -32,9 +29,6 @@
 
     /// Stops what can be moved away from workers that are being emptied.
     pub(crate) fn move_away(&mut self) {
-        if self.phase != Phase::Settled {
-            return;
-        }
         for key in 0..u32::try_from(self.workers.len()).unwrap_or(0) {
             let worker = &self.workers[key as usize];
             if !worker.cordoned || worker.gone || worker.runs.is_empty() {
--- a/components/shard/src/ends.rs
+++ b/components/shard/src/ends.rs
@@ -168,6 +168,8 @@
                 self.requeue(task, self.now);
             }
         }
+        // A later owner need not wait for what is over.
+        self.dirty_workers.insert(key);
         self.workers[key as usize].strangers.clear();
     }
 
@@ -176,7 +178,7 @@
         let gone = match self.stage(&task) {
             Some(Stage::Done) | None => true,
             Some(Stage::Placed(key)) => self.workers[key as usize].runs.contains_key(&task),
-            Some(Stage::Doubt | Stage::Waiting) => false,
+            Some(Stage::Waiting) => false,
         };
         if gone {
             return;
--- a/components/shard/src/intake.rs
+++ b/components/shard/src/intake.rs
@@ -132,7 +132,6 @@
     pub(crate) fn add_worker(&mut self, info: WorkerInfo) -> WorkerKey {
         let key = WorkerKey::try_from(self.workers.len()).unwrap_or(WorkerKey::MAX);
         tracing::info!(worker = %info.id, service = %info.service, zone = %info.zone, "shard: worker found");
-        self.outbox.push(record::worker(&info.id, &info.addr));
         self.worker_ids.insert(info.id.clone(), key);
         self.workers.push(Worker::new(info, self.now));
         key
@@ -145,12 +144,8 @@
             if worker.listed || worker.gone || !worker.runs.is_empty() || self.now < worker.lease_end {
                 continue;
             }
-            if matches!(self.phase, crate::Phase::TakingOver(_)) {
-                continue;
-            }
-            let worker = &mut self.workers[key];
-            worker.gone = true;
-            self.outbox.push(record::no_worker(&worker.info.id));
+            self.workers[key].gone = true;
+            self.dirty_workers.insert(WorkerKey::try_from(key).unwrap_or(WorkerKey::MAX));
         }
     }
 
--- a/components/shard/src/job.rs
+++ b/components/shard/src/job.rs
@@ -25,8 +25,6 @@
 /// Where a task stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Stage {
-    /// May run somewhere under an earlier owner; not to be started until that is known.
-    Doubt,
     /// Can be started.
     Waiting,
     /// Started, or being started, on a worker.
@@ -64,7 +62,6 @@
     pub steps: Vec<Step>,
     /// Steady clock at which it may start.
     pub due: Ms,
-    pub started: bool,
 }
 
 #[derive(Debug)]
@@ -146,7 +143,7 @@
 impl Turn {
     pub fn new(spec: &JobSpec, number: u32, due: Ms, first: Stage) -> Self {
         let steps = spec.steps.iter().map(|s| Step::new(s.count, first)).collect();
-        Self { number, steps, due, started: false }
+        Self { number, steps, due }
     }
 
     /// All steps that `step` comes after are done.
--- a/components/shard/src/lib.rs
+++ b/components/shard/src/lib.rs
@@ -4,9 +4,10 @@
 //! report, what the log has stored and what operators decide; each comes with the time. [`Shard::step`]
 //! returns what to do next: append records, send orders to workers, answer callers. A driver does the I/O.
 //!
-//! Only facts that cannot be read back from workers are stored: accepted jobs, cancellations, ends of runs
-//! and the workers in use. A new owner loads these, asks every worker in use what runs there under a higher
-//! fencing token, and waits out the leases of those that do not answer.
+//! Stored are accepted jobs, cancellations, ends of runs, and, before a start is sent, that the run may be on
+//! its worker. A new owner loads these and asks every worker that may have runs, under a higher fencing token,
+//! what runs there. Runs on workers that do not answer are waited out until their lease has surely lapsed; all
+//! other work goes on.
 
 mod cancel;
 mod drain;
@@ -25,7 +26,7 @@
 mod view;
 mod worker;
 
-pub use machine::{Action, Input, Limits, Phase, Shard, StartOrder, StartReply};
+pub use machine::{Action, Input, Limits, Shard, StartOrder, StartReply};
 pub use model::{JobSpec, Repeat, Res, RunName, StepSpec, Verdict};
 pub use record::{Record, WorkerRecord};
 pub use report::{EndRow, How, Report, RunRow};
--- a/components/shard/src/load.rs
+++ b/components/shard/src/load.rs
@@ -2,16 +2,17 @@
 
 use std::collections::HashMap;
 
-use crate::job::{Stage, StepRef, TaskRef};
+use crate::job::{Stage, TaskRef};
 use crate::machine::Shard;
-use crate::model::Verdict;
+use crate::model::{RunName, Verdict};
 use crate::record::{self, Loaded, Progress};
-use crate::worker::{Worker, WorkerInfo};
+use crate::worker::{RunPhase, Worker, WorkerInfo, WorkerKey};
 
 impl Shard {
     /// Takes the newest record of each key of the shard's partition.
     pub fn load<'a>(&mut self, items: impl Iterator<Item = (&'a str, &'a [u8])>) {
         let mut progress: HashMap<String, Progress> = HashMap::new();
+        let mut workers = Vec::new();
         for (key, value) in items {
             match record::read(key, value) {
                 Some(Loaded::Job(spec)) => {
@@ -24,7 +25,7 @@
                 Some(Loaded::Progress(id, done)) => {
                     progress.insert(id, done);
                 }
-                Some(Loaded::Worker(worker)) => self.load_worker(worker),
+                Some(Loaded::Worker(worker)) => workers.push(worker),
                 None => tracing::warn!(key, "shard: stored record is not understood"),
             }
         }
@@ -32,12 +33,17 @@
         for id in ids {
             self.restore(&id, progress.remove(&id).unwrap_or_default());
         }
+        for worker in &workers {
+            self.load_worker(worker);
+        }
     }
 
-    fn load_worker(&mut self, worker: record::WorkerRecord) {
+    /// Takes a worker that earlier owners used, with the runs that may still be there. They stay until it
+    /// has been asked, or until every lease that an earlier owner can have given has lapsed.
+    fn load_worker(&mut self, worker: &record::WorkerRecord) {
         let info = WorkerInfo {
-            id: worker.id,
-            addr: worker.addr,
+            id: worker.id.clone(),
+            addr: worker.addr.clone(),
             service: String::new(),
             zone: String::new(),
             labels: Vec::new(),
@@ -46,10 +52,41 @@
         };
         let key = u32::try_from(self.workers.len()).unwrap_or(u32::MAX);
         self.worker_ids.insert(info.id.clone(), key);
-        let mut worker = Worker::new(info, self.now);
-        worker.recorded = true;
-        worker.listed = false;
-        self.workers.push(worker);
+        let mut entry = Worker::new(info, self.now);
+        entry.recorded = true;
+        entry.listed = false;
+        entry.lease_end = self.now + self.limits.overlap + self.limits.lease_real();
+        self.workers.push(entry);
+        for run in &worker.runs {
+            let task = RunName::parse(&run.name).and_then(|n| self.task_ref(&n));
+            if let Some(task) = task {
+                self.inherit(key, task, run.run);
+            }
+        }
+    }
+
+    /// A run that may be on a worker. Of several runs of a task only the highest can be going on.
+    fn inherit(&mut self, key: WorkerKey, task: TaskRef, number: u32) {
+        match self.stage(&task) {
+            Some(Stage::Done) => return,
+            Some(Stage::Placed(other)) => {
+                if self.workers[other as usize].runs.get(&task).is_some_and(|r| r.number >= number) {
+                    return;
+                }
+                self.release(other, &task);
+            }
+            // An ended job's runs are still to be stopped.
+            Some(Stage::Waiting) | None => {}
+        }
+        let Some(mut run) = self.new_run(&task, number) else { return };
+        run.phase = RunPhase::Inherited;
+        self.charge(&run);
+        self.workers[key as usize].put(task, run);
+        self.set_stage(&task, Stage::Placed(key));
+        self.with_task(&task, |t| t.run = t.run.max(number));
+        if let Some(job) = self.jobs.get_mut(&task.at.job) {
+            job.started = true;
+        }
     }
 
     fn restore(&mut self, id: &str, progress: Progress) {
@@ -64,36 +101,13 @@
         if verdict != Verdict::Open {
             return;
         }
-        self.open_job(key, Stage::Doubt);
+        self.open_job(key, Stage::Waiting);
         for turn in progress.turns.iter().filter(|t| !t.complete) {
-            self.open_turn(key, turn.turn, Stage::Doubt);
+            self.open_turn(key, turn.turn, Stage::Waiting);
             let Some(open) = self.jobs.get_mut(&key).and_then(|j| j.turn_mut(turn.turn)) else { continue };
             for (step, stored) in open.steps.iter_mut().zip(&turn.steps) {
                 step.restore(stored);
             }
         }
     }
-
-    /// All runs are known: tasks that were not found can be started.
-    pub(crate) fn release_doubts(&mut self) {
-        let mut tasks: Vec<TaskRef> = Vec::new();
-        for (&job, entry) in &self.jobs {
-            for turn in &entry.turns {
-                for (step, table) in (0..).zip(&turn.steps) {
-                    let at = StepRef { job, turn: turn.number, step };
-                    let doubts = (0..).zip(&table.tasks).filter(|(_, t)| t.stage == Stage::Doubt);
-                    tasks.extend(doubts.map(|(index, _)| TaskRef { at, index }));
-                }
-            }
-        }
-        tracing::info!(
-            epoch = self.epoch,
-            tasks = tasks.len(),
-            jobs = self.jobs.len(),
-            "shard: take-over settled"
-        );
-        for task in tasks {
-            self.requeue(task, self.now);
-        }
-    }
 }
--- a/components/shard/src/machine.rs
+++ b/components/shard/src/machine.rs
@@ -5,9 +5,9 @@
 use crate::Ms;
 use crate::job::{Job, JobKey, StepRef, TaskRef};
 use crate::model::{JobSpec, Res};
-use crate::record::{self, Record};
+use crate::record::{self, Record, RunRecord};
 use crate::report::Report;
-use crate::worker::{Contact, StopCause, Worker, WorkerInfo, WorkerKey};
+use crate::worker::{Contact, RunPhase, StopCause, Worker, WorkerInfo, WorkerKey};
 
 /// Bounds of the platform and limits derived from them, in milliseconds unless named otherwise.
 #[derive(Clone, Copy, Debug)]
@@ -34,15 +34,6 @@
     }
 }
 
-/// Whether the shard knows all that runs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Phase {
-    /// Asks the workers in use; runs that are not found may still be somewhere until this time.
-    TakingOver(Ms),
-    /// Knows all runs.
-    Settled,
-}
-
 /// Answer of a worker to a start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StartReply {
@@ -218,7 +209,6 @@
 pub struct Shard {
     pub(crate) limits: Limits,
     pub(crate) epoch: u64,
-    pub(crate) phase: Phase,
     pub(crate) now: Ms,
     /// Wall clock in milliseconds since the Unix epoch.
     pub(crate) wall: u64,
@@ -234,6 +224,10 @@
     pub(crate) ready: BTreeSet<StepRef>,
     /// Jobs whose progress is to be stored.
     pub(crate) dirty: HashSet<JobKey>,
+    /// Workers whose record is to be stored.
+    pub(crate) dirty_workers: HashSet<WorkerKey>,
+    /// Runs that are stored and can be started.
+    pub(crate) cleared: Vec<(WorkerKey, TaskRef, u32)>,
     /// Records other than progress, to be stored next.
     pub(crate) outbox: Vec<Record>,
     pub(crate) flight: Option<Flight>,
@@ -252,6 +246,7 @@
     pub new_jobs: Vec<JobKey>,
     pub cancels: Vec<(JobKey, u64)>,
     pub workers: Vec<WorkerKey>,
+    pub starts: Vec<(WorkerKey, TaskRef, u32)>,
     pub ends: Vec<(WorkerKey, u64, u64)>,
     pub extra: Vec<Record>,
 }
@@ -263,7 +258,6 @@
         Self {
             limits,
             epoch,
-            phase: Phase::TakingOver(now + limits.overlap + limits.lease_real()),
             now,
             wall,
             jobs: HashMap::new(),
@@ -276,6 +270,8 @@
             charged: HashMap::new(),
             ready: BTreeSet::new(),
             dirty: HashSet::new(),
+            dirty_workers: HashSet::new(),
+            cleared: Vec::new(),
             outbox: Vec::new(),
             flight: None,
             actions: Vec::new(),
@@ -285,12 +281,6 @@
         }
     }
 
-    /// Whether all runs are known.
-    #[must_use]
-    pub const fn phase(&self) -> Phase {
-        self.phase
-    }
-
     /// A task could have started in the last step but for its customer's limit.
     #[must_use]
     pub const fn short(&self) -> bool {
@@ -334,9 +324,9 @@
         self.short = false;
         self.open_turns();
         self.lapse();
-        self.settle();
         self.forget_old();
         if may_start {
+            self.send_starts();
             self.move_away();
             self.place_all();
         }
@@ -350,27 +340,27 @@
         std::mem::take(&mut self.actions)
     }
 
-    /// Ends the take-over when all runs are known.
-    fn settle(&mut self) {
-        let Phase::TakingOver(until) = self.phase else { return };
-        let known = |w: &Worker| w.gone || w.contact == Contact::Good;
-        if self.now < until && !self.workers.iter().all(known) {
-            return;
-        }
-        self.phase = Phase::Settled;
-        self.release_doubts();
-    }
-
     /// Sends one batch to the log if none is on its way.
     fn flush(&mut self) {
-        if self.flight.is_some() || (self.dirty.is_empty() && self.outbox.is_empty()) {
-            if self.flight.is_none() {
-                self.acknowledge_all();
-            }
+        if self.flight.is_some() {
+            return;
+        }
+        if self.dirty.is_empty() && self.outbox.is_empty() && self.dirty_workers.is_empty() {
+            self.acknowledge_all();
             return;
         }
         let mut flight = Flight { extra: std::mem::take(&mut self.outbox), ..Flight::default() };
         let mut records = flight.extra.clone();
+        self.pack_jobs(&mut flight, &mut records);
+        self.pack_workers(&mut flight, &mut records);
+        if records.is_empty() {
+            return;
+        }
+        self.flight = Some(flight);
+        self.actions.push(Action::Append(records));
+    }
+
+    fn pack_jobs(&mut self, flight: &mut Flight, records: &mut Vec<Record>) {
         for key in std::mem::take(&mut self.dirty) {
             let Some(job) = self.jobs.get_mut(&key) else { continue };
             if job.stored {
@@ -384,17 +374,27 @@
             }
             flight.cancels.extend(job.cancels.drain(..).map(|t| (key, t)));
         }
-        for (key, worker) in (0..).zip(&self.workers) {
-            flight.ends.push((key, worker.born, worker.ends_seen));
-            if !worker.recorded && flight.extra.iter().any(|r| r.key == format!("w:{}", worker.info.id)) {
-                flight.workers.push(key);
+    }
+
+    /// Packs which runs may be on the workers that changed, and what ends have been seen.
+    fn pack_workers(&mut self, flight: &mut Flight, records: &mut Vec<Record>) {
+        for key in std::mem::take(&mut self.dirty_workers) {
+            let worker = &self.workers[key as usize];
+            let mut runs = Vec::with_capacity(worker.runs.len());
+            for (task, run) in &worker.runs {
+                let Some(name) = self.run_name(task) else { continue };
+                runs.push(RunRecord { name: name.to_string(), run: run.number });
+                if run.phase == RunPhase::Planned {
+                    flight.starts.push((key, *task, run.number));
+                }
+            }
+            flight.workers.push(key);
+            if !runs.is_empty() || worker.recorded {
+                records.push(record::worker(&worker.info.id, &worker.info.addr, runs));
+                self.workers[key as usize].recorded = true;
             }
         }
-        if records.is_empty() {
-            return;
-        }
-        self.flight = Some(flight);
-        self.actions.push(Action::Append(records));
+        flight.ends = (0..).zip(&self.workers).map(|(key, w)| (key, w.born, w.ends_seen)).collect();
     }
 
     /// Nothing waits to be stored, so all ends that were seen may be acknowledged.
@@ -413,9 +413,7 @@
                 worker.ends_stored = worker.ends_stored.max(seen);
             }
         }
-        for key in flight.workers {
-            self.workers[key as usize].recorded = true;
-        }
+        self.cleared.extend(flight.starts);
         for key in flight.jobs.into_iter().chain(flight.new_jobs) {
             self.job_stored(key);
         }
@@ -435,6 +433,7 @@
                 job.cancels.push(ticket);
             }
         }
+        self.dirty_workers.extend(flight.workers);
         self.dirty.extend(flight.jobs.into_iter().filter(|k| self.jobs.contains_key(k)));
         let newer = std::mem::replace(&mut self.outbox, flight.extra);
         self.outbox.extend(newer);
--- a/components/shard/src/place.rs
+++ b/components/shard/src/place.rs
@@ -3,7 +3,7 @@
 use crate::job::{Stage, StepRef, TaskRef};
 use crate::machine::{Action, Shard, StartOrder};
 use crate::model::{Res, StepSpec, Verdict};
-use crate::worker::{RunPhase, WorkerKey};
+use crate::worker::{Contact, Run, RunPhase, WorkerKey};
 
 /// Runs of one owner are numbered from its epoch's distance to the job's, times this.
 const RUNS_PER_EPOCH: u64 = 16;
@@ -82,50 +82,43 @@
         if tasks.len() < spec.count as usize {
             return true;
         }
-        let mark = self.actions.len();
         let mut placed = Vec::new();
         for &index in tasks {
             let task = TaskRef { at, index };
             match self.place_task(task, spec, claimed) {
                 Placed::Yes => placed.push(task),
                 Placed::NoRoom | Placed::OverLimit => {
-                    self.undo(&placed, mark);
+                    for task in placed {
+                        if let Some(Stage::Placed(key)) = self.stage(&task) {
+                            self.release(key, &task);
+                            self.requeue(task, self.now);
+                        }
+                    }
                     return false;
                 }
             }
         }
-        self.align_gang(&placed, mark);
+        self.align_gang(&placed);
         true
     }
 
-    fn undo(&mut self, placed: &[TaskRef], mark: usize) {
-        self.actions.truncate(mark);
-        for task in placed {
-            if let Some(Stage::Placed(key)) = self.stage(task) {
-                self.release(key, task);
-                self.requeue(*task, self.now);
-            }
-        }
-    }
-
-    /// Gives all members of a gang the same run number and checkpoint.
-    fn align_gang(&mut self, placed: &[TaskRef], mark: usize) {
+    /// Gives all members of a gang the same run number and the furthest checkpoint.
+    fn align_gang(&mut self, placed: &[TaskRef]) {
         let mut run = 0;
         let mut saved = String::new();
-        for order in self.actions[mark..].iter().filter_map(start_of) {
-            run = run.max(order.run);
-            if order.saved > saved {
-                saved.clone_from(&order.saved);
-            }
-        }
-        for action in &mut self.actions[mark..] {
-            if let Action::Start(order) = action {
-                order.run = run;
-                order.saved.clone_from(&saved);
-            }
+        for task in placed {
+            self.with_task(task, |t| {
+                run = run.max(t.run);
+                if t.saved > saved {
+                    saved.clone_from(&t.saved);
+                }
+            });
         }
         for task in placed {
-            self.with_task(task, |t| t.run = run);
+            self.with_task(task, |t| {
+                t.run = run;
+                t.saved.clone_from(&saved);
+            });
             if let Some(Stage::Placed(key)) = self.stage(task)
                 && let Some(entry) = self.workers[key as usize].runs.get_mut(task)
             {
@@ -206,7 +199,8 @@
     /// A worker that failed lately gets one task at a time until one is done.
     fn probing(&self, key: WorkerKey) -> bool {
         let worker = &self.workers[key as usize];
-        worker.strikes >= 2 && worker.runs.values().any(|r| matches!(r.phase, RunPhase::Sent))
+        worker.strikes >= 2
+            && worker.runs.values().any(|r| matches!(r.phase, RunPhase::Planned | RunPhase::Sent))
     }
 
     /// Keeps the worker with the most room that could run the step free of other tasks in this pass.
@@ -221,27 +215,58 @@
         claimed.extend(best);
     }
 
+    /// Plans a run; it starts once the log has stored that it may be on the worker.
     fn start(&mut self, task: TaskRef, key: WorkerKey) {
-        let now = self.now;
         let Some(job) = self.jobs.get(&task.at.job) else { return };
         let base = (self.epoch.saturating_sub(job.spec.epoch)) * RUNS_PER_EPOCH;
-        let (text, name) = (job.spec.text.clone(), self.run_name(&task));
+        let first = u32::try_from(base + 1).unwrap_or(u32::MAX);
         let mut number = 0;
-        let mut saved = String::new();
         self.with_task(&task, |t| {
-            t.run = (t.run + 1).max(u32::try_from(base + 1).unwrap_or(u32::MAX));
+            t.run = (t.run + 1).max(first);
             number = t.run;
-            saved.clone_from(&t.saved);
         });
-        let (Some(run), Some(name)) = (self.new_run(&task, number), name) else { return };
-        let Some(clock) = self.workers[key as usize].clock_now(now) else { return };
+        let Some(mut run) = self.new_run(&task, number) else { return };
+        run.phase = RunPhase::Planned;
         self.set_stage(&task, Stage::Placed(key));
         self.charge(&run);
-        let until = clock + self.limits.lease;
+        self.workers[key as usize].put(task, run);
+        self.dirty_workers.insert(key);
+    }
+
+    /// Starts the runs that are stored.
+    pub(crate) fn send_starts(&mut self) {
+        for (key, task, number) in std::mem::take(&mut self.cleared) {
+            let planned = |r: &&Run| r.number == number && r.phase == RunPhase::Planned;
+            if self.workers[key as usize].runs.get(&task).filter(planned).is_none() {
+                continue;
+            }
+            if let Some(order) = self.order(key, &task, number) {
+                self.actions.push(Action::Start(order));
+            } else {
+                self.release(key, &task);
+                self.requeue(task, self.now);
+            }
+        }
+    }
+
+    /// The order of a planned run; `None` if it is not wanted there any more.
+    fn order(&mut self, key: WorkerKey, task: &TaskRef, number: u32) -> Option<StartOrder> {
+        let now = self.now;
+        let name = self.run_name(task)?;
+        let job = self.jobs.get_mut(&task.at.job).filter(|j| j.verdict == Verdict::Open)?;
+        let entry =
+            job.turn(task.at.turn)?.steps.get(task.at.step as usize)?.tasks.get(task.index as usize)?;
+        let (saved, text) = (entry.saved.clone(), job.spec.text.clone());
         let worker = &mut self.workers[key as usize];
+        let out = self.zones_out.contains(&worker.info.zone);
+        if out || worker.gone || worker.cordoned || !worker.info.ready || worker.contact != Contact::Good {
+            return None;
+        }
+        let until = worker.clock_now(now)? + self.limits.lease;
         worker.lease_end = now + self.limits.lease_real();
-        worker.put(task, run);
-        let order = StartOrder {
+        worker.runs.get_mut(task)?.phase = RunPhase::Sent;
+        job.started = true;
+        Some(StartOrder {
             worker: worker.info.id.clone(),
             addr: worker.info.addr.clone(),
             name,
@@ -249,21 +274,7 @@
             text,
             saved,
             until,
-        };
-        if let Some(job) = self.jobs.get_mut(&task.at.job) {
-            job.started = true;
-            if let Some(turn) = job.turn_mut(task.at.turn) {
-                turn.started = true;
-            }
-        }
-        self.actions.push(Action::Start(order));
-    }
-}
-
-const fn start_of(action: &Action) -> Option<&StartOrder> {
-    match action {
-        Action::Start(order) => Some(order),
-        _ => None,
+        })
     }
 }
 
--- a/components/shard/src/record.rs
+++ b/components/shard/src/record.rs
@@ -27,6 +27,20 @@
     /// Address as `ip:port`.
     #[prost(string, tag = "2")]
     pub addr: String,
+    /// Runs that were, or were about to be, started there. Runs that have ended since may be among them.
+    #[prost(message, repeated, tag = "3")]
+    pub runs: Vec<RunRecord>,
+}
+
+/// A run that may be on a worker.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct RunRecord {
+    /// Task, in the form that workers use.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Run number.
+    #[prost(uint32, tag = "2")]
+    pub run: u32,
 }
 
 /// Failed runs of one task.
@@ -112,11 +126,9 @@
     [JOB, PROGRESS].map(|prefix| Record { key: format!("{prefix}{id}"), value: None })
 }
 
-pub(crate) fn worker(id: &str, addr: &str) -> Record {
-    let value = WorkerRecord { id: id.to_owned(), addr: addr.to_owned() }.encode_to_vec();
-    Record { key: format!("{WORKER}{id}"), value: Some(value) }
-}
-
-pub(crate) fn no_worker(id: &str) -> Record {
-    Record { key: format!("{WORKER}{id}"), value: None }
+/// A worker without runs needs no record.
+pub(crate) fn worker(id: &str, addr: &str, runs: Vec<RunRecord>) -> Record {
+    let record = WorkerRecord { id: id.to_owned(), addr: addr.to_owned(), runs };
+    let value = (!record.runs.is_empty()).then(|| record.encode_to_vec());
+    Record { key: format!("{WORKER}{id}"), value }
 }
--- a/components/shard/src/report.rs
+++ b/components/shard/src/report.rs
@@ -117,12 +117,14 @@
             .filter(|(task, run)| listed.get(*task) != Some(&run.number))
             .filter_map(|(task, run)| match run.phase {
                 RunPhase::Running(at) | RunPhase::Stopped(at) => (at < sent).then_some((*task, true)),
-                RunPhase::Sent | RunPhase::Unclear | RunPhase::Stopping => None,
+                // The look's fencing token bars whatever an earlier owner sent.
+                RunPhase::Inherited => Some((*task, true)),
+                RunPhase::Planned | RunPhase::Sent | RunPhase::Unclear | RunPhase::Stopping => None,
             })
             .collect();
         for (task, _) in absent {
             tracing::info!(worker = %self.workers[key as usize].info.id, ?task, "shard: run is gone without an end");
-            self.workers[key as usize].take(&task);
+            self.release(key, &task);
             self.requeue(task, now);
         }
     }
@@ -145,7 +147,8 @@
             self.workers[key as usize].strangers.push((row.name.clone(), row.run));
             return;
         }
-        if matches!(run.phase, RunPhase::Sent | RunPhase::Unclear) && run.stop_sent == 0 {
+        if matches!(run.phase, RunPhase::Sent | RunPhase::Unclear | RunPhase::Inherited) && run.stop_sent == 0
+        {
             run.phase = RunPhase::Running(now);
         }
         if row.percent != run.percent {
@@ -166,7 +169,7 @@
         let stage = self.stage(&task);
         // A task that is done, or that runs elsewhere under a higher number, must not run here.
         let wanted = match stage {
-            Some(Stage::Doubt | Stage::Waiting) => !ended,
+            Some(Stage::Waiting) => !ended,
             Some(Stage::Placed(other)) => other == key || self.run_number(other, &task) < number,
             Some(Stage::Done) | None => false,
         };
--- a/components/shard/src/worker.rs
+++ b/components/shard/src/worker.rs
@@ -30,12 +30,16 @@
 /// What is known of a run on a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum RunPhase {
+    /// To be started once the log has stored that it may be there.
+    Planned,
     /// Start sent, not answered.
     Sent,
     /// Started; answered or seen at this time.
     Running(Ms),
     /// The start's answer is lost; a stop is to settle it.
     Unclear,
+    /// Stored by an earlier owner; the worker has not been asked yet.
+    Inherited,
     /// A stop was answered at this time: the run ends, or never was.
     Stopped(Ms),
     /// A stop is wanted.
@@ -111,7 +115,7 @@
     pub rack: String,
     /// The platform lists it.
     pub listed: bool,
-    /// The log has stored that this shard uses it.
+    /// The log holds a record of it.
     pub recorded: bool,
     pub contact: Contact,
     /// Start of its life, as it says.
@@ -175,7 +179,6 @@
     pub fn usable(&self, now: Ms) -> bool {
         self.listed
             && self.info.ready
-            && self.recorded
             && !self.gone
             && !self.cordoned
             && self.contact == Contact::Good
