--- a/components/shard/src/ends.rs
+++ b/components/shard/src/ends.rs
@@ -87,7 +87,7 @@
     }
 
     /// Opens the steps that came after this one, and ends the occurrence and the job if all is done.
-    fn advance(&mut self, at: StepRef) {
+    pub(crate) fn advance(&mut self, at: StepRef) {
         let Some(job) = self.jobs.get_mut(&at.job) else { return };
         let Some(turn) = job.turns.iter().find(|t| t.number == at.turn) else { return };
         if turn.complete() {
--- a/components/shard/src/load.rs
+++ b/components/shard/src/load.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use crate::job::{Stage, TaskRef};
+use crate::job::{Stage, StepRef, TaskRef};
 use crate::machine::Shard;
 use crate::model::{RunName, Verdict};
 use crate::record::{self, Loaded, Progress};
@@ -108,6 +108,8 @@
             for (step, stored) in open.steps.iter_mut().zip(&turn.steps) {
                 step.restore(stored);
             }
+            // Steps that came after finished ones are open too.
+            self.advance(StepRef { job: key, turn: turn.turn, step: 0 });
         }
     }
 }
