--- a/components/shard/src/machine.rs
+++ b/components/shard/src/machine.rs
@@ -441,7 +441,6 @@
 
     /// Sends a look to each worker that is due.
     fn send_looks(&mut self) {
-        let idle = self.flight.is_none();
         for worker in &mut self.workers {
             if worker.gone || worker.holding || self.now < worker.hold_at {
                 continue;
@@ -458,9 +457,7 @@
             if until.is_some() {
                 worker.lease_end = self.now + self.limits.lease_real();
             }
-            let busy = !worker.runs.is_empty();
-            let wait = if !known || pending || !idle && pending { 0 } else { self.limits.look };
-            let _ = busy;
+            let wait = if !known || pending { 0 } else { self.limits.look };
             self.actions.push(Action::Look {
                 worker: worker.info.id.clone(),
                 addr: worker.info.addr.clone(),
--- a/components/shard/src/place.rs
+++ b/components/shard/src/place.rs
@@ -72,13 +72,7 @@
     }
 
     /// Starts all tasks of a gang, or none.
-    fn place_gang(
-        &mut self,
-        at: StepRef,
-        spec: &StepSpec,
-        tasks: &[u32],
-        claimed: &mut Vec<WorkerKey>,
-    ) -> bool {
+    fn place_gang(&mut self, at: StepRef, spec: &StepSpec, tasks: &[u32], claimed: &[WorkerKey]) -> bool {
         if tasks.len() < spec.count as usize {
             return true;
         }
@@ -280,6 +274,6 @@
 
 /// Share of a worker that is used, in thousandths of its scarcest part.
 fn load_of(used: &Res, room: &Res) -> u64 {
-    let part = |u: u64, r: u64| if r == 0 { 0 } else { u * 1_000 / r };
+    let part = |u: u64, r: u64| (u * 1_000).checked_div(r).unwrap_or(0);
     part(used.cpu, room.cpu).max(part(used.mem, room.mem))
 }
--- /dev/null
+++ b/components/shard/tests/fleet/support.rs
@@ -0,0 +1,368 @@
+//! A fleet in memory around one shard: a log, workers with leases and fencing tokens, and faults.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+use shard::{
+    Action, EndRow, How, Input, JobSpec, JobState, Limits, Ms, Record, Report, Res, RunName, RunRow, Shard,
+    StartOrder, StartReply, StepSpec, WorkerInfo,
+};
+
+pub const LIMITS: Limits =
+    Limits { lease: 5_000, overlap: 1_500, look: 1_000, answer: 500, stop_again: 400, keep: 120_000 };
+/// Time of one round of the fleet in milliseconds.
+pub const ROUND: Ms = 10;
+const WALL: u64 = 1_000_000_000;
+
+/// A run on a worker.
+#[derive(Clone, Debug)]
+pub struct Running {
+    pub run: u32,
+    pub began: Ms,
+    pub work: Ms,
+    pub lasting: bool,
+    pub text: String,
+}
+
+/// A worker that keeps the rules of the platform.
+#[derive(Debug, Default)]
+pub struct FakeWorker {
+    pub born: u64,
+    pub fence: u64,
+    pub lease: Ms,
+    pub running: BTreeMap<String, Running>,
+    pub ended: Vec<EndRow>,
+    pub ends: u64,
+    pub barred: HashMap<String, u32>,
+    pub silent: bool,
+    pub fails: bool,
+    pub stuck: bool,
+    /// Times at which runs of a task were started, for checks.
+    pub starts: Vec<(String, u32)>,
+}
+
+/// The fleet.
+#[derive(Debug)]
+pub struct Fleet {
+    pub now: Ms,
+    pub shard: Shard,
+    pub workers: BTreeMap<String, FakeWorker>,
+    pub infos: Vec<WorkerInfo>,
+    pub log: BTreeMap<String, Vec<u8>>,
+    /// The log takes nothing.
+    pub log_down: bool,
+    /// Answers of starts are lost.
+    pub lose_starts: bool,
+    /// Work of a task by its name's end, in milliseconds.
+    pub work: Ms,
+    /// Tasks whose text starts so always fail.
+    pub poison: &'static str,
+    pub answers: HashMap<u64, &'static str>,
+    pub orders: Vec<StartOrder>,
+    pub stops: Vec<(String, String)>,
+    pub paces: Vec<u32>,
+    pub epoch: u64,
+    /// Tail latency that serving tasks show.
+    pub tail: u64,
+    looks: VecDeque<(Ms, String, u64)>,
+    late: Vec<(Ms, Input)>,
+    next_ticket: u64,
+}
+
+impl Fleet {
+    pub fn new(workers: usize, cpu: u64) -> Self {
+        let infos: Vec<WorkerInfo> = (0..workers).map(|n| info(&format!("w{n}"), cpu)).collect();
+        let table = infos.iter().map(|i| (i.id.clone(), FakeWorker { born: 1, ..FakeWorker::default() }));
+        let mut fleet = Self {
+            now: 10_000,
+            shard: Shard::new(LIMITS, 64, 10_000, WALL + 10_000),
+            workers: table.collect(),
+            infos,
+            log: BTreeMap::new(),
+            log_down: false,
+            lose_starts: false,
+            work: 500,
+            poison: "poison",
+            answers: HashMap::new(),
+            orders: Vec::new(),
+            stops: Vec::new(),
+            paces: Vec::new(),
+            epoch: 64,
+            tail: 0,
+            looks: VecDeque::new(),
+            late: Vec::new(),
+            next_ticket: 0,
+        };
+        fleet.tell_roster();
+        fleet
+    }
+
+    pub fn tell_roster(&mut self) {
+        let list = self.infos.clone();
+        self.input(Input::Roster(list));
+    }
+
+    pub fn input(&mut self, input: Input) {
+        self.shard.apply(self.now, WALL + self.now, input);
+    }
+
+    pub fn submit(&mut self, spec: JobSpec) -> u64 {
+        self.next_ticket += 1;
+        let ticket = self.next_ticket;
+        self.input(Input::Submit { ticket, spec });
+        ticket
+    }
+
+    pub fn cancel(&mut self, id: &str) -> u64 {
+        self.next_ticket += 1;
+        let ticket = self.next_ticket;
+        self.input(Input::Cancel { ticket, id: id.into() });
+        ticket
+    }
+
+    /// Another owner takes over from what the log has stored.
+    pub fn change_owner(&mut self) {
+        self.epoch += 64;
+        self.shard = Shard::new(LIMITS, self.epoch, self.now, WALL + self.now);
+        self.shard.load(self.log.iter().map(|(k, v)| (k.as_str(), v.as_slice())));
+        self.looks.clear();
+        self.late.clear();
+        self.tell_roster();
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, span: Ms) {
+        let end = self.now + span;
+        while self.now < end {
+            self.round();
+        }
+    }
+
+    pub fn state(&self, id: &str) -> Option<JobState> {
+        self.shard.state(id)
+    }
+
+    fn round(&mut self) {
+        self.now += ROUND;
+        self.work_on();
+        self.answer_looks();
+        let due: Vec<Input> = {
+            let now = self.now;
+            let (due, rest) = std::mem::take(&mut self.late).into_iter().partition(|(at, _)| *at <= now);
+            self.late = rest;
+            let due: Vec<(Ms, Input)> = due;
+            due.into_iter().map(|(_, input)| input).collect()
+        };
+        for input in due {
+            self.input(input);
+        }
+        for action in self.shard.step(self.now, WALL + self.now, true) {
+            self.act(action);
+        }
+        self.check();
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Append(records) => self.append(records),
+            Action::Accepted(t) => drop(self.answers.insert(t, "accepted")),
+            Action::Refused(t) => drop(self.answers.insert(t, "refused")),
+            Action::Cancelled(t) => drop(self.answers.insert(t, "cancelled")),
+            Action::Unknown(t) => drop(self.answers.insert(t, "unknown")),
+            Action::Start(order) => self.start(order),
+            Action::Stop { worker, name, run, .. } => self.stop(&worker, &name, run),
+            Action::Pace { percent, .. } => self.paces.push(percent),
+            Action::Look { worker, until, seen, wait, .. } => self.look(&worker, until, seen, wait),
+            Action::Lost => panic!("the shard was lost"),
+        }
+    }
+
+    fn append(&mut self, records: Vec<Record>) {
+        if self.log_down {
+            self.late.push((self.now + ROUND, Input::NotStored));
+            return;
+        }
+        for record in records {
+            match record.value {
+                Some(value) => drop(self.log.insert(record.key, value)),
+                None => drop(self.log.remove(&record.key)),
+            }
+        }
+        self.late.push((self.now + ROUND, Input::Stored));
+    }
+
+    fn start(&mut self, order: StartOrder) {
+        self.orders.push(order.clone());
+        let (now, epoch, work) = (self.now, self.epoch, self.work);
+        let worker = self.workers.get_mut(&order.worker).expect("known worker");
+        let name = order.name.to_string();
+        let reply = if worker.silent {
+            StartReply::NoAnswer
+        } else if worker.fence > epoch {
+            StartReply::Fenced
+        } else if worker.barred.get(&name).is_some_and(|&r| r >= order.run) || order.until < now {
+            StartReply::Refused
+        } else {
+            worker.fence = epoch;
+            worker.lease = worker.lease.max(order.until);
+            worker.starts.push((name.clone(), order.run));
+            let lasting = order.text.starts_with("lasting");
+            let run = Running { run: order.run, began: now, work, lasting, text: order.text.clone() };
+            worker.running.insert(name, run);
+            StartReply::Running
+        };
+        let reply = if self.lose_starts { StartReply::NoAnswer } else { reply };
+        let input = Input::Started { worker: order.worker, name: order.name, run: order.run, reply };
+        let wait = if reply == StartReply::NoAnswer { LIMITS.answer } else { 0 };
+        self.late.push((now + wait, input));
+    }
+
+    fn stop(&mut self, id: &str, name: &RunName, run: u32) {
+        self.stops.push((id.to_owned(), name.to_string()));
+        let worker = self.workers.get_mut(id).expect("known worker");
+        if worker.silent {
+            return;
+        }
+        let text = name.to_string();
+        worker.barred.insert(text.clone(), run);
+        if worker.running.get(&text).is_some_and(|r| r.run == run) {
+            worker.running.remove(&text);
+            worker.end(name.clone(), run, How::Cut);
+        }
+        self.late.push((self.now, Input::Stopped { worker: id.to_owned(), name: name.clone(), run }));
+    }
+
+    fn look(&mut self, id: &str, until: Option<u64>, seen: u64, wait: Ms) {
+        let (now, epoch) = (self.now, self.epoch);
+        let worker = self.workers.get_mut(id).expect("known worker");
+        if worker.silent {
+            let input = Input::LookFailed { worker: id.to_owned(), other: false, fenced: false };
+            self.late.push((now + LIMITS.answer, input));
+            return;
+        }
+        worker.fence = worker.fence.max(epoch);
+        worker.ended.retain(|e| e.number > seen);
+        if let Some(until) = until {
+            worker.lease = worker.lease.max(until);
+        }
+        self.looks.push_back((now + wait, id.to_owned(), now));
+    }
+
+    fn answer_looks(&mut self) {
+        for _ in 0..self.looks.len() {
+            let Some((at, id, sent)) = self.looks.pop_front() else { break };
+            let worker = &self.workers[&id];
+            if worker.silent {
+                let input = Input::LookFailed { worker: id, other: false, fenced: false };
+                self.late.push((self.now + LIMITS.answer, input));
+            } else if self.now >= at || !worker.ended.is_empty() {
+                let report = worker.report(self.now, self.tail);
+                self.input(Input::Looked { worker: id, sent, report });
+            } else {
+                self.looks.push_back((at, id, sent));
+            }
+        }
+    }
+
+    /// Work goes on, ends and lapses.
+    fn work_on(&mut self) {
+        let (now, poison) = (self.now, self.poison);
+        for worker in self.workers.values_mut() {
+            let lapsed = worker.lease < now;
+            let (fails, stuck) = (worker.fails, worker.stuck);
+            let over = |r: &Running| lapsed || (now >= r.began + r.work && !r.lasting && !stuck);
+            let names: Vec<String> =
+                worker.running.iter().filter(|(_, r)| over(r)).map(|(n, _)| n.clone()).collect();
+            for name in names {
+                let run = worker.running.remove(&name).expect("listed run");
+                let how = if lapsed {
+                    How::Cut
+                } else if fails || run.text.starts_with(poison) {
+                    How::Failed
+                } else {
+                    How::Done
+                };
+                worker.end(RunName::parse(&name).expect("name of a run"), run.run, how);
+            }
+        }
+    }
+
+    /// What must hold at every moment.
+    fn check(&self) {
+        let mut seen: HashMap<&str, &str> = HashMap::new();
+        for (id, worker) in &self.workers {
+            for name in worker.running.keys() {
+                if let Some(other) = seen.insert(name, id) {
+                    panic!("{name} runs on {other} and on {id} at {}", self.now);
+                }
+            }
+        }
+    }
+}
+
+impl FakeWorker {
+    fn end(&mut self, name: RunName, run: u32, how: How) {
+        self.ends += 1;
+        self.barred.insert(name.to_string(), run);
+        self.ended.push(EndRow { number: self.ends, name, run, how, saved: String::new() });
+    }
+
+    fn report(&self, now: Ms, tail: u64) -> Report {
+        let row = |(name, r): (&String, &Running)| RunRow {
+            name: RunName::parse(name).expect("name of a run"),
+            run: r.run,
+            saved: String::new(),
+            percent: match (r.lasting, self.stuck) {
+                (true, _) => 100,
+                (false, true) => 7,
+                (false, false) => u32::try_from((now - r.began) * 100 / r.work.max(1)).unwrap_or(100).min(99),
+            },
+            figure: if r.lasting { tail } else { 500 },
+        };
+        Report {
+            born: self.born,
+            clock: now,
+            running: self.running.iter().map(row).collect(),
+            ended: self.ended.clone(),
+        }
+    }
+
+    /// It crashes and starts again under its id.
+    pub fn crash(&mut self) {
+        *self = Self { born: self.born + 1, ..Self::default() };
+    }
+}
+
+pub fn info(id: &str, cpu: u64) -> WorkerInfo {
+    WorkerInfo {
+        id: id.into(),
+        addr: format!("{id}:1"),
+        service: "quotes".into(),
+        zone: "z1".into(),
+        labels: vec!["a".into(), "r1-1".into()],
+        room: Res { cpu, mem: 100_000, gpu: 0 },
+        ready: true,
+    }
+}
+
+pub fn step(count: u32, cpu: u64) -> StepSpec {
+    StepSpec { count, cpu, mem: 10, estimate: 500, ..StepSpec::default() }
+}
+
+pub fn job(id: &str, steps: Vec<StepSpec>) -> JobSpec {
+    JobSpec {
+        id: id.into(),
+        queue: "q".into(),
+        service: "quotes".into(),
+        text: "work".into(),
+        steps,
+        attempts: 2,
+        stretch: 2.0,
+        target: 1_000,
+        ..JobSpec::default()
+    }
+}
+
+pub fn lasting(id: &str, count: u32, cpu: u64) -> JobSpec {
+    let step = StepSpec { lasting: true, spread: 1, budget: 1, ..step(count, cpu) };
+    JobSpec { text: "lasting".into(), ..job(id, vec![step]) }
+}
--- /dev/null
+++ b/components/upkeep/tests/waves.rs
@@ -0,0 +1,113 @@
+//! Maintenance waves.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use googletest::prelude::*;
+use upkeep::{Machine, MachineState, Next, Outcome, Wave};
+
+const SPAN: u64 = 20_000;
+
+fn machines(count: usize) -> Vec<Machine> {
+    (0..count)
+        .map(|n| Machine {
+            name: format!("m{n}"),
+            pool: format!("p{}", n % 3),
+            state: MachineState::Up,
+            zone: "z1".into(),
+            worker: format!("w{n}"),
+        })
+        .collect()
+}
+
+fn names(list: &[Machine]) -> Vec<String> {
+    list.iter().map(|m| m.name.clone()).collect()
+}
+
+/// Plays a wave in which emptying takes one look; gives the time of its end and the most machines down.
+fn play(mut list: Vec<Machine>, at_once: usize, down_for: u64) -> (u64, usize) {
+    let mut wave = Wave::new(&names(&list), at_once, 0, SPAN, &BTreeSet::new());
+    let mut back: BTreeMap<String, u64> = BTreeMap::new();
+    let mut most = 0;
+    for now in (0..SPAN * 3).step_by(300) {
+        for machine in &mut list {
+            if back.get(&machine.name).is_some_and(|at| *at <= now) {
+                back.remove(&machine.name);
+                machine.state = MachineState::Up;
+                machine.worker.push('x');
+            }
+        }
+        wave.see(&list);
+        let left = wave.emptying().map(|n| (n.clone(), 0)).collect();
+        for next in wave.plan(now, &list, &left) {
+            if let Next::Order(name) = next {
+                let machine = list.iter_mut().find(|m| m.name == name).expect("listed");
+                machine.state = MachineState::Maintenance;
+                back.insert(name.clone(), now + down_for);
+                wave.ordered(&name, Outcome::Begun);
+            }
+        }
+        most = most.max(back.len());
+        if wave.complete() {
+            return (now, most);
+        }
+    }
+    (u64::MAX, most)
+}
+
+#[gtest]
+fn a_wave_ends_in_time_and_within_what_may_be_down() {
+    let (end, most) = play(machines(25), 10, 2_000);
+    expect_that!(end, le(SPAN));
+    expect_that!(most, le(10));
+}
+
+#[gtest]
+fn only_one_machine_is_down_where_one_may_be() {
+    let (end, most) = play(machines(6), 1, 2_000);
+    expect_that!(end, le(SPAN));
+    expect_that!(most, eq(1));
+}
+
+#[gtest]
+fn a_machine_with_runs_is_not_taken_down() {
+    let list = machines(1);
+    let mut wave = Wave::new(&names(&list), 1, 0, SPAN, &BTreeSet::new());
+    wave.plan(0, &list, &BTreeMap::new());
+    let left = [("m0".to_owned(), 2)].into();
+    expect_that!(wave.plan(5_000, &list, &left), is_empty());
+    expect_that!(wave.plan(5_300, &list, &BTreeMap::new()), is_empty());
+}
+
+#[gtest]
+fn an_unanswered_order_counts_as_down() {
+    let list = machines(2);
+    let mut wave = Wave::new(&names(&list), 1, 0, SPAN, &BTreeSet::new());
+    wave.plan(SPAN, &list, &BTreeMap::new());
+    let left: BTreeMap<String, usize> = wave.emptying().map(|n| (n.clone(), 0)).collect();
+    let steps = wave.plan(SPAN, &list, &left);
+    let [Next::Order(first)] = &steps[..] else { panic!("{steps:?}") };
+    wave.ordered(first, Outcome::Unknown);
+    wave.see(&list);
+    expect_that!(wave.plan(SPAN + 300, &list, &left), is_empty());
+    expect_false!(wave.complete());
+}
+
+#[gtest]
+fn a_machine_that_left_is_not_owed() {
+    let mut list = machines(2);
+    let mut wave = Wave::new(&names(&list), 2, 0, SPAN, &BTreeSet::from(["m0".to_owned()]));
+    list.remove(1);
+    wave.see(&list);
+    expect_true!(wave.complete());
+}
+
+#[gtest]
+fn a_refused_machine_is_tried_again() {
+    let list = machines(1);
+    let mut wave = Wave::new(&names(&list), 1, 0, SPAN, &BTreeSet::new());
+    wave.plan(SPAN, &list, &BTreeMap::new());
+    let left = [("m0".to_owned(), 0)].into();
+    wave.plan(SPAN, &list, &left);
+    wave.ordered("m0", Outcome::NotDone);
+    expect_that!(wave.plan(SPAN + 300, &list, &left), eq(&vec![Next::Empty("m0".to_owned())]));
+}
