Machines move to the pools that need them; lasting tasks are packed

Change: a planner crate; the holder of the duty moves idle machines to pools with waiting tasks and idle ones to the spare pool.

--- a/components/relay/src/duty.rs
+++ b/components/relay/src/duty.rs
@@ -4,6 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ::edge::{Fault, Verdict};
+use capacity::{Limits, Move, Planner, PoolLoad};
+use futures_util::future::join_all;
 use shard::Record;
 use upkeep::{Machine, Next, Outcome, Wave};
 
@@ -14,8 +17,12 @@
 
 /// Pause between two looks at the machines while a wave runs.
 const EVERY: Duration = Duration::from_millis(300);
-/// Pause while there is nothing to do.
-const IDLE: Duration = Duration::from_millis(500);
+/// Milliseconds without waiting tasks after which a pool can give machines to others.
+const CALM: u64 = 1_000;
+/// Machines that each pool keeps, so that lasting tasks can be spread and moved.
+const KEEP: usize = 3;
+/// Part of its room, in percent, that a pool keeps free when it gives machines away.
+const RESERVE: u64 = 50;
 /// Time for a question to a shard's owner.
 const ASK: Duration = Duration::from_millis(250);
 
@@ -34,6 +41,8 @@
     pub epoch: u64,
     /// Milliseconds in which an earlier holder's orders may still come.
     pub lease: u64,
+    /// Milliseconds that a machine takes to join another pool.
+    pub move_time: u64,
 }
 
 /// Waves by number, and what is stored of each.
@@ -50,6 +59,7 @@
     /// Runs until the duty is lost.
     pub async fn run(self) {
         let Some(mut waves) = self.load().await else { return };
+        let mut planner = Planner::new(self.limits());
         let from = steady_ms() + self.lease;
         tracing::info!(epoch = self.epoch, "duty: taken");
         while self.node.holds(self.part, self.epoch) {
@@ -68,14 +78,11 @@
                     waves.open.insert(*number, wave);
                 }
             }
-            if waves.open.is_empty() {
-                tokio::time::sleep(IDLE).await;
-                continue;
-            }
             match self.machines.list().await {
                 Ok(list) => {
                     if let (Some(setup), true) = (wishes.setup, steady_ms() >= from) {
                         self.advance(&mut waves, &list, &setup).await;
+                        self.balance(&mut planner, &waves, &list, &setup).await;
                     }
                 }
                 Err(error) => tracing::info!(%error, "duty: machines not listed"),
@@ -85,6 +92,47 @@
         tracing::info!(epoch = self.epoch, "duty: given up");
     }
 
+    const fn limits(&self) -> Limits {
+        Limits {
+            move_time: self.move_time,
+            calm: CALM,
+            rest: self.move_time + CALM,
+            keep: KEEP,
+            reserve: RESERVE,
+        }
+    }
+
+    /// Moves machines to the pools that need them.
+    async fn balance(&self, planner: &mut Planner, waves: &Waves, list: &[Machine], setup: &Setup) {
+        let spare: BTreeSet<String> =
+            setup.pools.iter().filter(|p| p.spare).map(|p| p.name.clone()).collect();
+        let asked = setup.pools.iter().filter(|p| !p.spare).map(|p| self.node.load_of(&p.name, ASK));
+        let loads: Vec<PoolLoad> = join_all(asked).await.into_iter().flatten().collect();
+        let busy = waves.open.values().flat_map(Wave::active).cloned().collect();
+        for step in planner.plan(steady_ms(), list, &loads, &spare, &busy) {
+            self.shift(planner, &step, spare.contains(&step.from)).await;
+        }
+    }
+
+    async fn shift(&self, planner: &mut Planner, step: &Move, off: bool) {
+        if !off && self.node.empty(&step.from, &step.worker, ASK).await != Some(0) {
+            self.node.keep(&step.from, &step.worker, ASK).await;
+            return;
+        }
+        if !self.node.holds(self.part, self.epoch) {
+            return;
+        }
+        let answer = self.machines.shift(&step.machine, &step.to, self.node.name(), self.epoch).await;
+        tracing::info!(machine = %step.machine, from = %step.from, to = %step.to, ?answer, "duty: machine moves");
+        match answer {
+            Ok(Ordered::Done) | Err(Fault { verdict: Verdict::MayHaveRun | Verdict::Ran, .. }) => {
+                planner.sent(steady_ms(), step);
+            }
+            Ok(Ordered::Barred) => planner.bar(&step.machine, &step.to),
+            Ok(Ordered::Refused) | Err(_) => self.node.keep(&step.from, &step.worker, ASK).await,
+        }
+    }
+
     async fn load(&self) -> Option<Waves> {
         let mut waves = Waves::default();
         loop {
@@ -153,8 +201,8 @@
         tracing::info!(wave, machine, ?answer, "duty: maintenance ordered");
         match answer {
             Ok(Ordered::Done) => Outcome::Begun,
-            Ok(Ordered::Refused) => Outcome::NotDone,
-            Err(fault) if fault.verdict == ::edge::Verdict::NotRun => Outcome::NotDone,
+            Ok(Ordered::Refused | Ordered::Barred) => Outcome::NotDone,
+            Err(fault) if fault.verdict == Verdict::NotRun => Outcome::NotDone,
             Err(_) => Outcome::Unknown,
         }
     }
--- a/components/relay/src/edge.rs
+++ b/components/relay/src/edge.rs
@@ -140,8 +140,10 @@
 pub enum Ordered {
     /// Done, now or before.
     Done,
-    /// Not done.
+    /// Not done; the machine is not up.
     Refused,
+    /// Not done, and never will be.
+    Barred,
 }
 
 /// The platform's machines.
@@ -149,6 +151,10 @@
     /// Lists all machines.
     fn list(&self) -> Call<'_, Vec<upkeep::Machine>>;
 
+    /// Moves a machine to another pool.
+    fn shift<'a>(&'a self, machine: &'a str, pool: &'a str, holder: &'a str, fence: u64)
+    -> Call<'a, Ordered>;
+
     /// Takes a machine down for its maintenance in a wave.
     fn maintain<'a>(&'a self, machine: &'a str, wave: u64, holder: &'a str, fence: u64) -> Call<'a, Ordered>;
 }
--- a/components/relay/src/node.rs
+++ b/components/relay/src/node.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use capacity::PoolLoad;
 use parking_lot::Mutex;
 use rights::Broker;
 use shard::{JobSpec, JobState, Limits};
@@ -18,7 +19,7 @@
 use crate::member::{self, Standing};
 use crate::mesh::{self, Mesh, MeshFault};
 use crate::owner::{Owner, Surroundings};
-use crate::reply::{Kind, Reply, RightsReport, Want};
+use crate::reply::{Kind, LoadRow, Reply, RightsReport, Want};
 use crate::roster::{self, Roster};
 use crate::setup::Setup;
 use crate::watch::{self as documents, Wishes};
@@ -50,6 +51,8 @@
     pub limits: Limits,
     /// Milliseconds between orders of two holders for one machine.
     pub duty_lease: u64,
+    /// Milliseconds that a machine takes to join another pool.
+    pub move_time: u64,
     /// Partitions of the shards' topic; the last one carries the duty of maintenance.
     pub parts: u32,
 }
@@ -265,6 +268,22 @@
         slot.1.report(&report.into()).map_or(Reply::of(Kind::NotOwner), Reply::rights)
     }
 
+    /// Asks for the load of a service's workers.
+    pub async fn load_of(&self, service: &str, within: Duration) -> Option<PoolLoad> {
+        let want = Want::Load(service.to_owned());
+        let load = self.ask_once(self.part(service)?, want, within).await.ok()?.load?;
+        let LoadRow { wanted, used, room, idle } = load;
+        Some(PoolLoad { name: service.to_owned(), wanted, used, room, idle })
+    }
+
+    /// Tells a worker's shard to use it again.
+    pub async fn keep(&self, service: &str, worker: &str, within: Duration) {
+        let Some(part) = self.part(service) else { return };
+        if self.ask_once(part, Want::Keep(worker.to_owned()), within).await.is_err() {
+            tracing::info!(worker, "node: worker not kept, its shard is away");
+        }
+    }
+
     /// Asks a worker's shard to empty it; gives the runs that are left, if that is known.
     pub async fn empty(&self, service: &str, worker: &str, within: Duration) -> Option<usize> {
         let want = Want::Empty(worker.to_owned());
@@ -330,6 +349,7 @@
                 part,
                 epoch,
                 lease: self.parts.duty_lease,
+                move_time: self.parts.move_time,
             };
             let mut slot = self.duty.lock();
             *slot = Some((epoch, tokio::spawn(duty.run())));
@@ -391,6 +411,6 @@
         Kind::Unknown => Some(Outcome::Unknown),
         Kind::State => reply.as_state().map(Outcome::State),
         Kind::Count => Some(Outcome::Count(reply.value)),
-        Kind::Unset | Kind::Rights | Kind::NotOwner | Kind::Unsure => None,
+        Kind::Unset | Kind::Rights | Kind::Load | Kind::NotOwner | Kind::Unsure => None,
     }
 }
--- a/components/relay/src/owner.rs
+++ b/components/relay/src/owner.rs
@@ -270,6 +270,14 @@
             }
             // The broker answers this, not a shard.
             Want::Rights(_) => Reply::of(Kind::Unset),
+            Want::Load(service) => {
+                let load = Some(self.shard.load_of(&service).into());
+                Reply { load, ..Reply::of(Kind::Load) }
+            }
+            Want::Keep(worker) => {
+                self.input(Input::Cordon { worker, on: false });
+                Reply::of(Kind::Done)
+            }
             Want::Waiting(queue) => Reply::count(self.shard.waiting(&queue)),
         };
         // The caller may have gone.
--- a/components/relay/src/reply.rs
+++ b/components/relay/src/reply.rs
@@ -1,6 +1,6 @@
 //! Requests between daemons and their answers, as they travel over the mesh.
 
-use shard::{JobSpec, JobState, Res};
+use shard::{JobSpec, JobState, Load, Res};
 
 /// A request to the owner of a shard.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -12,7 +12,7 @@
     #[prost(uint32, tag = "2")]
     pub part: u32,
     /// What is asked.
-    #[prost(oneof = "Want", tags = "3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "Want", tags = "3, 4, 5, 6, 7, 8, 9, 10")]
     pub want: Option<Want>,
 }
 
@@ -37,6 +37,12 @@
     /// Divide the customers' limits.
     #[prost(message, tag = "8")]
     Rights(RightsReport),
+    /// Load of a service's workers.
+    #[prost(string, tag = "9")]
+    Load(String),
+    /// Use a worker again that was to be emptied.
+    #[prost(string, tag = "10")]
+    Keep(String),
 }
 
 /// An amount.
@@ -120,6 +126,29 @@
     }
 }
 
+/// Load of a service's workers, in thousandths of a core.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct LoadRow {
+    /// Wanted by tasks that could start.
+    #[prost(uint64, tag = "1")]
+    pub wanted: u64,
+    /// In use.
+    #[prost(uint64, tag = "2")]
+    pub used: u64,
+    /// What usable workers have.
+    #[prost(uint64, tag = "3")]
+    pub room: u64,
+    /// Ids of workers on which nothing runs.
+    #[prost(string, repeated, tag = "4")]
+    pub idle: Vec<String>,
+}
+
+impl From<Load> for LoadRow {
+    fn from(load: Load) -> Self {
+        Self { wanted: load.wanted, used: load.used, room: load.room, idle: load.idle }
+    }
+}
+
 /// Kinds of answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
 #[repr(i32)]
@@ -142,6 +171,8 @@
     Count = 7,
     /// Parts of limits: see `rows`.
     Rights = 8,
+    /// Load of workers: see `load`.
+    Load = 9,
 }
 
 /// An answer.
@@ -159,13 +190,16 @@
     /// Parts of limits.
     #[prost(message, repeated, tag = "4")]
     pub rows: Vec<RightsRow>,
+    /// Load of workers.
+    #[prost(message, optional, tag = "5")]
+    pub load: Option<LoadRow>,
 }
 
 impl Reply {
     /// An answer without a value.
     #[must_use]
     pub const fn of(kind: Kind) -> Self {
-        Self { id: 0, kind: kind as i32, value: 0, rows: Vec::new() }
+        Self { id: 0, kind: kind as i32, value: 0, rows: Vec::new(), load: None }
     }
 
     /// A count.
@@ -184,7 +218,7 @@
             JobState::Failed => 3,
             JobState::Cancelled => 4,
         };
-        Self { id: 0, kind: Kind::State as i32, value, rows: Vec::new() }
+        Self { id: 0, kind: Kind::State as i32, value, rows: Vec::new(), load: None }
     }
 
     /// New parts of limits.
--- a/components/shard/src/lib.rs
+++ b/components/shard/src/lib.rs
@@ -30,7 +30,7 @@
 pub use model::{JobSpec, Repeat, Res, RunName, StepSpec, Verdict};
 pub use record::{Record, WorkerRecord};
 pub use report::{EndRow, How, Report, RunRow};
-pub use view::{JobState, Usage};
+pub use view::{JobState, Load, Usage};
 pub use worker::{StopCause, WorkerInfo};
 
 /// Milliseconds on the owner's steady clock, which also counts while the machine is suspended.
--- a/components/shard/src/place.rs
+++ b/components/shard/src/place.rs
@@ -7,6 +7,8 @@
 
 /// Runs of one owner are numbered from its epoch's distance to the job's, times this.
 const RUNS_PER_EPOCH: u64 = 16;
+/// A worker that is used whole, in thousandths.
+const FULL: u64 = 1_000;
 /// Steps that find no room in one pass before the pass ends.
 const FAILED_STEPS: usize = 24;
 
@@ -162,6 +164,8 @@
             let avoided = entry.avoid.contains(&key);
             let away = !spec.rack.is_empty() && worker.rack != spec.rack;
             let load = load_of(&worker.used, &worker.info.room);
+            // Lasting tasks are packed, so that whole machines stay free for other pools.
+            let load = if spec.lasting { FULL.saturating_sub(load) } else { load };
             let company = if spec.filler {
                 worker.runs.values().filter(|r| r.target > 0).count() as u64
             } else if spec.tail > 0 {
--- a/components/shard/src/view.rs
+++ b/components/shard/src/view.rs
@@ -20,6 +20,19 @@
     Cancelled,
 }
 
+/// Load of a service's workers, in thousandths of a core.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Wanted by tasks that could start.
+    pub wanted: u64,
+    /// In use.
+    pub used: u64,
+    /// What usable workers have.
+    pub room: u64,
+    /// Ids of workers on which nothing runs.
+    pub idle: Vec<String>,
+}
+
 /// What a customer uses and waits for.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Usage {
@@ -72,6 +85,29 @@
         table
     }
 
+    /// Load of the workers of a service.
+    #[must_use]
+    pub fn load_of(&self, service: &str) -> Load {
+        let mut load = Load::default();
+        for worker in &self.workers {
+            if worker.info.service != service || worker.cordoned || !worker.usable(self.now) {
+                continue;
+            }
+            load.room += worker.info.room.cpu;
+            load.used += worker.used.cpu;
+            if worker.runs.is_empty() {
+                load.idle.push(worker.info.id.clone());
+            }
+        }
+        for at in &self.ready {
+            let Some(job) = self.jobs.get(&at.job).filter(|j| j.spec.service == service) else { continue };
+            let Some(step) = job.turn(at.turn).and_then(|t| t.steps.get(at.step as usize)) else { continue };
+            let Some(spec) = job.spec.steps.get(at.step as usize) else { continue };
+            load.wanted += spec.room().cpu * u64::from(step.waiting);
+        }
+        load
+    }
+
     /// Workers, for the operators: id and runs.
     #[must_use]
     pub fn loads(&self) -> Vec<(String, usize)> {
--- a/components/upkeep/src/lib.rs
+++ b/components/upkeep/src/lib.rs
@@ -35,6 +35,8 @@
     pub zone: String,
     /// Id of its worker; empty if it has none.
     pub worker: String,
+    /// Thousandths of a core that it has.
+    pub cpu: u64,
 }
 
 /// Where a machine of a wave stands.
@@ -110,6 +112,12 @@
         self.stages.iter().filter(|(_, s)| begun(s)).map(|(n, _)| n.clone()).collect()
     }
 
+    /// Machines that are being emptied or are down.
+    pub fn active(&self) -> impl Iterator<Item = &String> {
+        let active = |s: &Stage| !matches!(s, Stage::Pending | Stage::Done);
+        self.stages.iter().filter(move |(_, s)| active(s)).map(|(n, _)| n)
+    }
+
     /// Machines that are being emptied.
     pub fn emptying(&self) -> impl Iterator<Item = &String> {
         self.stages.iter().filter(|(_, s)| matches!(s, Stage::Emptying(_))).map(|(n, _)| n)
--- a/components/upkeep/tests/waves.rs
+++ b/components/upkeep/tests/waves.rs
@@ -15,6 +15,7 @@
             state: MachineState::Up,
             zone: "z1".into(),
             worker: format!("w{n}"),
+            cpu: 16_000,
         })
         .collect()
 }
