--- a/components/relay/src/duty.rs
+++ b/components/relay/src/duty.rs
@@ -10,10 +10,10 @@
 use shard::Record;
 use upkeep::{Machine, Next, Outcome, Wave};
 
-use crate::clock::steady_ms;
+use crate::clock::{steady_ms, wall_ms};
 use crate::edge::{Appended, Machines, Ordered, Store};
 use crate::node::Node;
-use crate::setup::Setup;
+use crate::setup::{Setup, Wave as Wish};
 
 /// Pause between two looks at the machines while a wave runs.
 const EVERY: Duration = Duration::from_millis(300);
@@ -49,12 +49,32 @@
 #[derive(Debug, Default)]
 struct Waves {
     open: BTreeMap<u64, Wave>,
-    stored: HashMap<u64, BTreeSet<String>>,
+    stored: HashMap<u64, Progress>,
     complete: BTreeSet<u64>,
     shown: HashMap<u64, bool>,
     sequence: u64,
 }
 
+/// What is stored of a wave: when it was first seen, on the wall clock, and which machines have begun.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+struct Progress {
+    began: u64,
+    begun: BTreeSet<String>,
+}
+
+impl Progress {
+    fn parse(text: &str) -> Self {
+        let mut words = text.split_whitespace();
+        let began = words.next().and_then(|w| w.parse().ok()).unwrap_or(0);
+        Self { began, begun: words.map(str::to_owned).collect() }
+    }
+
+    fn to_text(&self) -> String {
+        let names = self.begun.iter().map(String::as_str);
+        std::iter::once(self.began.to_string().as_str()).chain(names).collect::<Vec<_>>().join(" ")
+    }
+}
+
 impl Duty {
     /// Runs until the duty is lost.
     pub async fn run(self) {
@@ -65,24 +85,14 @@
         while self.node.holds(self.part, self.epoch) {
             let wishes = self.node.wishes();
             for (number, wish) in &wishes.waves {
-                if !waves.complete.contains(number) && !waves.open.contains_key(number) {
-                    let done = waves.stored.get(number).cloned().unwrap_or_default();
-                    let at_once = wish.at_once as usize;
-                    let wave = Wave::new(&wish.machines, at_once, steady_ms(), wish.seconds * 1_000, &done);
-                    tracing::info!(
-                        wave = number,
-                        machines = wish.machines.len(),
-                        at_once,
-                        "duty: wave begins"
-                    );
-                    waves.open.insert(*number, wave);
-                }
+                waves.open(*number, wish);
             }
             match self.machines.list().await {
                 Ok(list) => {
                     if let (Some(setup), true) = (wishes.setup, steady_ms() >= from) {
-                        self.advance(&mut waves, &list, &setup).await;
-                        self.balance(&mut planner, &waves, &list, &setup).await;
+                        let loads = self.loads(&setup).await;
+                        self.advance(&mut waves, &list, &setup, &loads).await;
+                        self.balance(&mut planner, &waves, &list, &setup, &loads).await;
                     }
                 }
                 Err(error) => tracing::info!(%error, "duty: machines not listed"),
@@ -102,14 +112,24 @@
         }
     }
 
+    async fn loads(&self, setup: &Setup) -> Vec<PoolLoad> {
+        let asked = setup.pools.iter().filter(|p| !p.spare).map(|p| self.node.load_of(&p.name, ASK));
+        join_all(asked).await.into_iter().flatten().collect()
+    }
+
     /// Moves machines to the pools that need them.
-    async fn balance(&self, planner: &mut Planner, waves: &Waves, list: &[Machine], setup: &Setup) {
+    async fn balance(
+        &self,
+        planner: &mut Planner,
+        waves: &Waves,
+        list: &[Machine],
+        setup: &Setup,
+        loads: &[PoolLoad],
+    ) {
         let spare: BTreeSet<String> =
             setup.pools.iter().filter(|p| p.spare).map(|p| p.name.clone()).collect();
-        let asked = setup.pools.iter().filter(|p| !p.spare).map(|p| self.node.load_of(&p.name, ASK));
-        let loads: Vec<PoolLoad> = join_all(asked).await.into_iter().flatten().collect();
         let busy = waves.open.values().flat_map(Wave::active).cloned().collect();
-        for step in planner.plan(steady_ms(), list, &loads, &spare, &busy) {
+        for step in planner.plan(steady_ms(), list, loads, &spare, &busy) {
             self.shift(planner, &step, spare.contains(&step.from)).await;
         }
     }
@@ -146,8 +166,7 @@
             if let (Ok(Appended::Stored), Ok(items)) = (fenced, self.store.load(self.part).await) {
                 for (key, value) in items {
                     let Some(number) = key.strip_prefix("m:").and_then(|n| n.parse().ok()) else { continue };
-                    let names = String::from_utf8(value).unwrap_or_default();
-                    waves.stored.insert(number, names.split_whitespace().map(str::to_owned).collect());
+                    waves.stored.insert(number, Progress::parse(&String::from_utf8_lossy(&value)));
                 }
                 return Some(waves);
             }
@@ -155,21 +174,22 @@
         }
     }
 
-    async fn advance(&self, waves: &mut Waves, list: &[Machine], setup: &Setup) {
+    async fn advance(&self, waves: &mut Waves, list: &[Machine], setup: &Setup, loads: &[PoolLoad]) {
+        let idle = idle(list, setup, loads);
         let numbers: Vec<u64> = waves.open.keys().copied().collect();
         for number in numbers {
             let Some(wave) = waves.open.get_mut(&number) else { continue };
-            wave.see(list);
+            wave.see(steady_ms(), list);
             let left = self.left(wave, list, setup).await;
             if !self.node.holds(self.part, self.epoch) {
                 return;
             }
-            for next in wave.plan(steady_ms(), list, &left) {
+            for next in wave.plan(steady_ms(), list, &left, &idle) {
                 match next {
                     Next::Empty(name) => tracing::info!(wave = number, machine = %name, "duty: emptied"),
                     Next::Order(name) => {
                         let outcome = self.order(&name, number).await;
-                        wave.ordered(&name, outcome);
+                        wave.ordered(steady_ms(), &name, outcome);
                     }
                 }
             }
@@ -209,13 +229,18 @@
 
     /// Stores which machines have begun and shows the wave's state.
     async fn record(&self, waves: &mut Waves, number: u64, begun: &BTreeSet<String>, complete: bool) {
-        if waves.stored.get(&number) != Some(begun) {
-            let names: Vec<&str> = begun.iter().map(String::as_str).collect();
-            let record = Record { key: format!("m:{number}"), value: Some(names.join(" ").into_bytes()) };
+        let mut progress = waves.stored.get(&number).cloned().unwrap_or_default();
+        if progress.began == 0 || progress.begun != *begun {
+            if progress.began == 0 {
+                progress.began = wall_ms();
+            }
+            progress.begun.clone_from(begun);
+            let value = progress.to_text().into_bytes();
+            let record = Record { key: format!("m:{number}"), value: Some(value) };
             match self.store.append(self.part, self.epoch, waves.sequence + 1, &[record]).await {
                 Ok(Appended::Stored) => {
                     waves.sequence += 1;
-                    waves.stored.insert(number, begun.clone());
+                    waves.stored.insert(number, progress);
                 }
                 Ok(Appended::Sequence(expected)) => waves.sequence = expected.saturating_sub(1),
                 answer => {
@@ -239,3 +264,27 @@
         }
     }
 }
+
+impl Waves {
+    /// Opens a wave that is neither open nor complete.
+    fn open(&mut self, number: u64, wish: &Wish) {
+        if self.complete.contains(&number) || self.open.contains_key(&number) {
+            return;
+        }
+        let stored = self.stored.get(&number).cloned().unwrap_or_default();
+        let age = if stored.began == 0 { 0 } else { wall_ms().saturating_sub(stored.began) };
+        let began = steady_ms().saturating_sub(age);
+        let at_once = wish.at_once as usize;
+        tracing::info!(wave = number, machines = wish.machines.len(), at_once, age, "duty: wave begins");
+        let wave = Wave::new(&wish.machines, at_once, began, wish.seconds * 1_000, &stored.begun);
+        self.open.insert(number, wave);
+    }
+}
+
+/// Machines on which nothing runs, in pools where nothing waits.
+fn idle(list: &[Machine], setup: &Setup, loads: &[PoolLoad]) -> BTreeSet<String> {
+    let spare = |m: &Machine| setup.pools.iter().any(|p| p.name == m.pool && p.spare);
+    let idle =
+        |m: &Machine| loads.iter().any(|l| l.name == m.pool && l.wanted == 0 && l.idle.contains(&m.worker));
+    list.iter().filter(|m| spare(m) || idle(m)).map(|m| m.name.clone()).collect()
+}
--- a/components/upkeep/src/lib.rs
+++ b/components/upkeep/src/lib.rs
@@ -9,6 +9,11 @@
 /// Milliseconds on a steady clock.
 pub type Ms = u64;
 
+/// Age that the platform's list may have, in milliseconds; well under the time that maintenance takes.
+const LIST_LAG: Ms = 500;
+/// Time after which an unanswered order is sent again, in milliseconds.
+const ORDER_LAG: Ms = 3_000;
+
 /// What the platform says of a machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum MachineState {
@@ -46,10 +51,10 @@
     Pending,
     /// Being emptied since.
     Emptying(Ms),
-    /// Maintenance was ordered for this worker; the answer may be lost.
-    Ordered(String),
-    /// Begun, and not back.
-    Begun(String),
+    /// Maintenance was ordered at this time; the answer may be lost.
+    Ordered(Ms),
+    /// Begun at this time, and not back.
+    Begun(Ms),
     /// Back.
     Done,
 }
@@ -73,27 +78,26 @@
 }
 
 impl Wave {
-    /// A wave that was asked for now; `done` machines have begun before.
+    /// A wave that was asked for at `began`; `done` machines have begun before.
     #[must_use]
-    pub fn new(machines: &[String], at_once: usize, now: Ms, span: Ms, done: &BTreeSet<String>) -> Self {
+    pub fn new(machines: &[String], at_once: usize, began: Ms, span: Ms, done: &BTreeSet<String>) -> Self {
         let first = |m: &String| if done.contains(m) { Stage::Done } else { Stage::Pending };
         let stages = machines.iter().map(|m| (m.clone(), first(m))).collect();
-        Self { stages, at_once: at_once.max(1), began: now, span }
+        Self { stages, at_once: at_once.max(1), began, span }
     }
 
     /// Takes the platform's list: machines that are back are done, machines that left are not owed.
-    pub fn see(&mut self, list: &[Machine]) {
-        let listed: BTreeMap<&str, &Machine> = list.iter().map(|m| (m.name.as_str(), m)).collect();
+    pub fn see(&mut self, now: Ms, list: &[Machine]) {
+        let listed: BTreeMap<&str, MachineState> = list.iter().map(|m| (m.name.as_str(), m.state)).collect();
         self.stages.retain(|name, _| listed.contains_key(name.as_str()));
         for (name, stage) in &mut self.stages {
-            let Some(machine) = listed.get(name.as_str()) else { continue };
-            let back = |before: &str| machine.state == MachineState::Up && machine.worker != before;
-            match stage {
-                Stage::Begun(before) if back(before) => *stage = Stage::Done,
-                Stage::Ordered(before) if back(before) => *stage = Stage::Done,
-                Stage::Ordered(before) if machine.state == MachineState::Maintenance => {
-                    *stage = Stage::Begun(std::mem::take(before));
-                }
+            let Some(state) = listed.get(name.as_str()) else { continue };
+            match (&stage, state) {
+                // A list from before it went down may still say that it is up.
+                (Stage::Begun(at), MachineState::Up) if now >= *at + LIST_LAG => *stage = Stage::Done,
+                (Stage::Ordered(_), MachineState::Maintenance) => *stage = Stage::Begun(now),
+                // An order that is carried out late is answered as done when it is sent again.
+                (Stage::Ordered(at), MachineState::Up) if now >= *at + ORDER_LAG => *stage = Stage::Pending,
                 _ => {}
             }
         }
@@ -124,21 +128,27 @@
     }
 
     /// The platform has answered an order.
-    pub fn ordered(&mut self, machine: &str, outcome: Outcome) {
+    pub fn ordered(&mut self, now: Ms, machine: &str, outcome: Outcome) {
         let Some(stage) = self.stages.get_mut(machine) else { return };
-        let Stage::Ordered(worker) = stage else { return };
-        let worker = std::mem::take(worker);
-        *stage = match outcome {
-            Outcome::Begun => Stage::Begun(worker),
-            Outcome::Unknown => Stage::Ordered(worker),
-            Outcome::NotDone => Stage::Pending,
-        };
+        match outcome {
+            Outcome::Begun => *stage = Stage::Begun(now),
+            Outcome::Unknown => {}
+            Outcome::NotDone => *stage = Stage::Pending,
+        }
     }
 
-    /// What to do next. `left` gives the runs on a machine, if that is known.
-    pub fn plan(&mut self, now: Ms, list: &[Machine], left: &BTreeMap<String, usize>) -> Vec<Next> {
-        let mut steps = self.orders(list, left);
-        steps.extend(self.openings(now, list));
+    /// What to do next. `left` gives the runs on a machine, if that is known; nothing runs on `idle` machines
+    /// and nothing waits for them.
+    pub fn plan(
+        &mut self,
+        now: Ms,
+        list: &[Machine],
+        left: &BTreeMap<String, usize>,
+        idle: &BTreeSet<String>,
+    ) -> Vec<Next> {
+        let mut steps = self.orders(now, list, left);
+        steps.extend(self.open_idle(now, list, idle));
+        steps.extend(self.open_due(now, list));
         steps
     }
 
@@ -146,7 +156,7 @@
         self.stages.values().filter(|s| matches!(s, Stage::Ordered(_) | Stage::Begun(_))).count()
     }
 
-    fn orders(&mut self, list: &[Machine], left: &BTreeMap<String, usize>) -> Vec<Next> {
+    fn orders(&mut self, now: Ms, list: &[Machine], left: &BTreeMap<String, usize>) -> Vec<Next> {
         let mut steps = Vec::new();
         for machine in list {
             let empty = machine.worker.is_empty() || left.get(&machine.name) == Some(&0);
@@ -154,23 +164,30 @@
                 continue;
             }
             if let Some(stage @ Stage::Emptying(_)) = self.stages.get_mut(&machine.name) {
-                *stage = Stage::Ordered(machine.worker.clone());
+                *stage = Stage::Ordered(now);
                 steps.push(Next::Order(machine.name.clone()));
             }
         }
         steps
     }
 
+    /// Opens idle machines at once: their maintenance costs nobody anything.
+    fn open_idle(&mut self, now: Ms, list: &[Machine], idle: &BTreeSet<String>) -> Vec<Next> {
+        let free = self.at_once.saturating_sub(self.active().count());
+        let ready = |m: &&Machine| idle.contains(&m.name) && self.is_pending(m);
+        let names: Vec<String> = list.iter().filter(ready).take(free).map(|m| m.name.clone()).collect();
+        names.into_iter().map(|name| self.open(now, name)).collect()
+    }
+
     /// Opens as many machines as keep the wave in time, spread over the pools.
-    fn openings(&mut self, now: Ms, list: &[Machine]) -> Vec<Next> {
+    fn open_due(&mut self, now: Ms, list: &[Machine]) -> Vec<Next> {
         let total = self.stages.len().max(1);
         let elapsed = now.saturating_sub(self.began);
-        // In time with a fifth of the span to spare.
-        let span = (self.span * 4 / 5).max(1);
+        // In time with two fifths of the span to spare: a change of holder costs several seconds.
+        let span = (self.span * 3 / 5).max(1);
         let due = usize::try_from(elapsed * total as u64 / span).unwrap_or(total) + 1;
         let opened = self.stages.values().filter(|s| **s != Stage::Pending).count();
-        let active = opened - self.stages.values().filter(|s| **s == Stage::Done).count();
-        let mut free = due.min(total).saturating_sub(opened).min(self.at_once.saturating_sub(active));
+        let room = self.at_once.saturating_sub(self.active().count());
         let mut busy: BTreeMap<&str, usize> = BTreeMap::new();
         for machine in list {
             let stage = self.stages.get(&machine.name);
@@ -178,19 +195,26 @@
             *busy.entry(&machine.pool).or_default() += usize::from(away);
         }
         let mut steps = Vec::new();
-        while free > 0 {
+        for _ in 0..due.min(total).saturating_sub(opened).min(room) {
             let candidate = list
                 .iter()
-                .filter(|m| m.state == MachineState::Up && self.stages.get(&m.name) == Some(&Stage::Pending))
+                .filter(|m| self.is_pending(m))
                 .min_by_key(|m| (busy.get(m.pool.as_str()).copied().unwrap_or(0), &m.name));
             let Some(machine) = candidate else { break };
             *busy.entry(&machine.pool).or_default() += 1;
-            self.stages.insert(machine.name.clone(), Stage::Emptying(now));
-            steps.push(Next::Empty(machine.name.clone()));
-            free -= 1;
+            steps.push(self.open(now, machine.name.clone()));
         }
         steps
     }
+
+    fn is_pending(&self, machine: &Machine) -> bool {
+        machine.state == MachineState::Up && self.stages.get(&machine.name) == Some(&Stage::Pending)
+    }
+
+    fn open(&mut self, now: Ms, name: String) -> Next {
+        self.stages.insert(name.clone(), Stage::Emptying(now));
+        Next::Empty(name)
+    }
 }
 
 /// Answer to an order of maintenance.
