--- a/components/relay/src/node.rs
+++ b/components/relay/src/node.rs
@@ -28,6 +28,9 @@
 const TRY_AGAIN: Duration = Duration::from_millis(60);
 /// Shortest pause between two reads of the owners.
 const OWNERS_EVERY: Duration = Duration::from_millis(250);
+/// Time for which an owner that cannot be reached is looked for, before the call is refused. A change of owner
+/// takes longer, so waiting on would only hold the caller back.
+const PATIENCE: Duration = Duration::from_millis(300);
 /// Time for one try at another daemon, within a caller's time.
 const ONE_TRY: Duration = Duration::from_millis(700);
 
@@ -178,6 +181,7 @@
         let end = Instant::now() + within;
         let end = self.leave_by.lock().map_or(end, |last| end.min(last));
         let mut sent = false;
+        let give_up = end.min(Instant::now() + PATIENCE);
         loop {
             let left = end.saturating_duration_since(Instant::now());
             if left.is_zero() {
@@ -195,6 +199,9 @@
                 }
                 self.stale.notify_one();
             }
+            if !sent && Instant::now() >= give_up {
+                return Outcome::Refused;
+            }
             tokio::time::sleep(TRY_AGAIN.min(left)).await;
         }
     }
--- a/components/shard/src/intake.rs
+++ b/components/shard/src/intake.rs
@@ -19,6 +19,10 @@
             }
             return;
         }
+        if self.stalled() {
+            self.actions.push(Action::Refused(ticket));
+            return;
+        }
         spec.epoch = self.epoch;
         spec.accepted = self.wall;
         let key = self.add_job(spec, self.now);
--- a/components/shard/src/machine.rs
+++ b/components/shard/src/machine.rs
@@ -22,6 +22,8 @@
     pub answer: Ms,
     /// Pause between two stops of the same run.
     pub stop_again: Ms,
+    /// Time after which a batch that the log has not answered counts as stalled.
+    pub stalled: Ms,
     /// Time an ended job can still be asked for.
     pub keep: Ms,
 }
@@ -242,6 +244,7 @@
 /// A batch on its way to the log.
 #[derive(Debug, Default)]
 pub(crate) struct Flight {
+    pub since: Ms,
     pub jobs: Vec<JobKey>,
     pub new_jobs: Vec<JobKey>,
     pub cancels: Vec<(JobKey, u64)>,
@@ -333,6 +336,7 @@
         if may_start {
             self.send_stops();
         }
+        self.refuse_unsent();
         self.flush();
         if may_start {
             self.send_looks();
@@ -340,6 +344,25 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// The log has not answered a batch for long.
+    pub(crate) fn stalled(&self) -> bool {
+        self.flight.as_ref().is_some_and(|f| self.now >= f.since + self.limits.stalled)
+    }
+
+    /// Refuses new jobs that have not been sent to the log while it is stalled: it is certain that they will
+    /// not run, and their callers can try again.
+    fn refuse_unsent(&mut self) {
+        if !self.stalled() {
+            return;
+        }
+        let sent = self.flight.as_ref().map(|f| f.new_jobs.clone()).unwrap_or_default();
+        let unsent = |k: &&JobKey| !sent.contains(k) && self.jobs.get(k).is_some_and(|j| !j.stored);
+        let keys: Vec<JobKey> = self.dirty.iter().filter(unsent).copied().collect();
+        for key in keys {
+            self.refuse(key);
+        }
+    }
+
     /// Sends one batch to the log if none is on its way.
     fn flush(&mut self) {
         if self.flight.is_some() {
@@ -349,7 +372,8 @@
             self.acknowledge_all();
             return;
         }
-        let mut flight = Flight { extra: std::mem::take(&mut self.outbox), ..Flight::default() };
+        let extra = std::mem::take(&mut self.outbox);
+        let mut flight = Flight { since: self.now, extra, ..Flight::default() };
         let mut records = flight.extra.clone();
         self.pack_jobs(&mut flight, &mut records);
         self.pack_workers(&mut flight, &mut records);
--- a/components/shard/src/order.rs
+++ b/components/shard/src/order.rs
@@ -25,7 +25,7 @@
         steps.into_iter().map(|(_, at)| at).collect()
     }
 
-    fn rank(&self, job: &Job, at: StepRef) -> (Rank, u32, Ms) {
+    pub(crate) fn rank(&self, job: &Job, at: StepRef) -> (Rank, u32, Ms) {
         let spec = &job.spec;
         if spec.steps.get(at.step as usize).is_some_and(|s| s.lasting && !s.filler) {
             return (Rank::Lasting, spec.priority, job.since);
--- a/components/shard/src/view.rs
+++ b/components/shard/src/view.rs
@@ -4,6 +4,7 @@
 
 use crate::machine::Shard;
 use crate::model::{Res, Verdict};
+use crate::order::Rank;
 
 /// State of a job as its caller sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,7 +24,7 @@
 /// Load of a service's workers, in thousandths of a core.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Load {
-    /// Wanted by tasks that could start.
+    /// Wanted by tasks that could start and whose jobs can be in time.
     pub wanted: u64,
     /// In use.
     pub used: u64,
@@ -103,6 +104,9 @@
             let Some(job) = self.jobs.get(&at.job).filter(|j| j.spec.service == service) else { continue };
             let Some(step) = job.turn(at.turn).and_then(|t| t.steps.get(at.step as usize)) else { continue };
             let Some(spec) = job.spec.steps.get(at.step as usize) else { continue };
+            if self.rank(job, *at).0 > Rank::InTime {
+                continue;
+            }
             load.wanted += spec.room().cpu * u64::from(step.waiting);
         }
         load
--- a/components/shard/tests/fleet/jobs.rs
+++ b/components/shard/tests/fleet/jobs.rs
@@ -226,3 +226,24 @@
     expect_that!(fleet.state("a"), none());
     expect_true!(fleet.log.keys().all(|k| !k.contains(":a")));
 }
+
+#[gtest]
+fn while_the_log_is_silent_new_jobs_are_refused_at_once_and_the_sent_one_is_kept() {
+    let mut fleet = Fleet::new(1, 4_000);
+    fleet.log_silent = true;
+    let sent = fleet.submit(job("sent", vec![step(1, 1_000)]));
+    fleet.run(50);
+    let queued = fleet.submit(job("queued", vec![step(1, 1_000)]));
+    fleet.run(400);
+    let late = fleet.submit(job("late", vec![step(1, 1_000)]));
+    fleet.run(20);
+    expect_that!(fleet.answers.get(&sent), none());
+    expect_that!(fleet.answers.get(&queued), some(eq(&"refused")));
+    expect_that!(fleet.answers.get(&late), some(eq(&"refused")));
+    fleet.log_silent = false;
+    fleet.run(3_000);
+    expect_that!(fleet.answers.get(&sent), some(eq(&"accepted")));
+    expect_that!(fleet.state("sent"), some(eq(JobState::Completed)));
+    expect_that!(fleet.state("queued"), none());
+    expect_that!(fleet.orders.len(), eq(1));
+}
--- a/components/shard/tests/fleet/support.rs
+++ b/components/shard/tests/fleet/support.rs
@@ -7,8 +7,15 @@
     StartOrder, StartReply, StepSpec, WorkerInfo,
 };
 
-pub const LIMITS: Limits =
-    Limits { lease: 5_000, overlap: 1_500, look: 1_000, answer: 500, stop_again: 400, keep: 120_000 };
+pub const LIMITS: Limits = Limits {
+    lease: 5_000,
+    overlap: 1_500,
+    look: 1_000,
+    answer: 500,
+    stop_again: 400,
+    stalled: 300,
+    keep: 120_000,
+};
 /// Time of one round of the fleet in milliseconds.
 pub const ROUND: Ms = 10;
 const WALL: u64 = 1_000_000_000;
@@ -50,6 +57,9 @@
     pub log: BTreeMap<String, Vec<u8>>,
     /// The log takes nothing.
     pub log_down: bool,
+    /// The log does not answer; what it was sent last is stored once it does.
+    pub log_silent: bool,
+    unanswered: bool,
     /// Answers of starts are lost.
     pub lose_starts: bool,
     /// Work of a task by its name's end, in milliseconds.
@@ -79,6 +89,8 @@
             infos,
             log: BTreeMap::new(),
             log_down: false,
+            log_silent: false,
+            unanswered: false,
             lose_starts: false,
             work: 500,
             poison: "poison",
@@ -124,6 +136,7 @@
         self.epoch += 64;
         self.shard = Shard::new(LIMITS, self.epoch, self.now, WALL + self.now);
         self.shard.load(self.log.iter().map(|(k, v)| (k.as_str(), v.as_slice())));
+        self.unanswered = false;
         self.looks.clear();
         self.late.clear();
         self.tell_roster();
@@ -143,6 +156,10 @@
 
     fn round(&mut self) {
         self.now += ROUND;
+        if self.unanswered && !self.log_silent {
+            self.unanswered = false;
+            self.input(Input::Stored);
+        }
         self.work_on();
         self.answer_looks();
         let due: Vec<Input> = {
@@ -187,7 +204,11 @@
                 None => drop(self.log.remove(&record.key)),
             }
         }
-        self.late.push((self.now + ROUND, Input::Stored));
+        if self.log_silent {
+            self.unanswered = true;
+        } else {
+            self.late.push((self.now + ROUND, Input::Stored));
+        }
     }
 
     fn start(&mut self, order: StartOrder) {
