--- a/components/relay/src/duty.rs
+++ b/components/relay/src/duty.rs
@@ -128,7 +128,9 @@
     ) {
         let spare: BTreeSet<String> =
             setup.pools.iter().filter(|p| p.spare).map(|p| p.name.clone()).collect();
-        let busy = waves.open.values().flat_map(Wave::active).cloned().collect();
+        let zones_out = self.node.wishes().zones_out;
+        let out = list.iter().filter(|m| zones_out.contains(&m.zone)).map(|m| &m.name);
+        let busy = waves.open.values().flat_map(Wave::active).chain(out).cloned().collect();
         for step in planner.plan(steady_ms(), list, loads, &spare, &busy) {
             self.shift(planner, &step, spare.contains(&step.from)).await;
         }
--- a/components/shard/src/view.rs
+++ b/components/shard/src/view.rs
@@ -91,7 +91,8 @@
     pub fn load_of(&self, service: &str) -> Load {
         let mut load = Load::default();
         for worker in &self.workers {
-            if worker.info.service != service || worker.cordoned || !worker.usable(self.now) {
+            let out = self.zones_out.contains(&worker.info.zone);
+            if worker.info.service != service || out || !worker.usable(self.now) {
                 continue;
             }
             load.room += worker.info.room.cpu;
