--- a/components/relay/src/duty.rs
+++ b/components/relay/src/duty.rs
@@ -8,7 +8,7 @@
 use capacity::{Limits, Move, Planner, PoolLoad};
 use futures_util::future::join_all;
 use shard::Record;
-use upkeep::{Machine, Next, Outcome, Wave};
+use upkeep::{Machine, MachineState, Next, Outcome, Wave};
 
 use crate::clock::{steady_ms, wall_ms};
 use crate::edge::{Appended, Machines, Ordered, Store};
@@ -20,9 +20,13 @@
 /// Milliseconds without waiting tasks after which a pool can give machines to others.
 const CALM: u64 = 1_000;
 /// Machines that each pool keeps, so that lasting tasks can be spread and moved.
-const KEEP: usize = 3;
+const KEEP: usize = 6;
 /// Part of its room, in percent, that a pool keeps free when it gives machines away.
 const RESERVE: u64 = 50;
+/// Key of the record of recent orders.
+const ORDERS: &str = "o";
+/// Difference that the wall clocks of two entry hosts may have, in milliseconds.
+const CLOCK_SLACK: u64 = 500;
 /// Time for a question to a shard's owner.
 const ASK: Duration = Duration::from_millis(250);
 
@@ -52,7 +56,30 @@
     stored: HashMap<u64, Progress>,
     complete: BTreeSet<u64>,
     shown: HashMap<u64, bool>,
+}
+
+/// The duty's partition, and which machines were ordered lately.
+#[derive(Debug, Default)]
+struct Ledger {
     sequence: u64,
+    /// A record whose answer was lost.
+    unsettled: Option<Record>,
+    /// Wall clock of the last order for each machine, stored before the order is sent.
+    orders: BTreeMap<String, u64>,
+}
+
+impl Ledger {
+    fn parse(&mut self, text: &str) {
+        let row = |line: &str| {
+            let (machine, at) = line.split_once(' ')?;
+            Some((machine.to_owned(), at.parse().ok()?))
+        };
+        self.orders = text.lines().filter_map(row).collect();
+    }
+
+    fn to_text(&self) -> String {
+        self.orders.iter().map(|(machine, at)| format!("{machine} {at}\n")).collect()
+    }
 }
 
 /// What is stored of a wave: when it was first seen, on the wall clock, and which machines have begun.
@@ -78,9 +105,9 @@
 impl Duty {
     /// Runs until the duty is lost.
     pub async fn run(self) {
-        let Some(mut waves) = self.load().await else { return };
+        let Some((mut waves, mut ledger)) = self.load().await else { return };
+        let earlier = ledger.orders.clone();
         let mut planner = Planner::new(self.limits());
-        let from = steady_ms() + self.lease;
         tracing::info!(epoch = self.epoch, "duty: taken");
         while self.node.holds(self.part, self.epoch) {
             let wishes = self.node.wishes();
@@ -89,10 +116,13 @@
             }
             match self.machines.list().await {
                 Ok(list) => {
-                    if let (Some(setup), true) = (wishes.setup, steady_ms() >= from) {
+                    if let Some(setup) = wishes.setup {
+                        // Another holder may have ordered these a moment ago.
+                        let held = self.held(&earlier);
+                        let free: Vec<Machine> = list.iter().map(|m| hide(m, &held)).collect();
                         let loads = self.loads(&setup).await;
-                        self.advance(&mut waves, &list, &setup, &loads).await;
-                        self.balance(&mut planner, &waves, &list, &setup, &loads).await;
+                        self.advance(&mut waves, &mut ledger, &free, &setup, &loads).await;
+                        self.balance(&mut planner, &waves, &mut ledger, &free, &setup, &loads).await;
                     }
                 }
                 Err(error) => tracing::info!(%error, "duty: machines not listed"),
@@ -122,6 +152,7 @@
         &self,
         planner: &mut Planner,
         waves: &Waves,
+        ledger: &mut Ledger,
         list: &[Machine],
         setup: &Setup,
         loads: &[PoolLoad],
@@ -131,16 +162,74 @@
         let zones_out = self.node.wishes().zones_out;
         let out = list.iter().filter(|m| zones_out.contains(&m.zone)).map(|m| &m.name);
         let busy = waves.open.values().flat_map(Wave::active).chain(out).cloned().collect();
+        let mut steps = Vec::new();
         for step in planner.plan(steady_ms(), list, loads, &spare, &busy) {
-            self.shift(planner, &step, spare.contains(&step.from)).await;
+            let off = spare.contains(&step.from);
+            if off || self.node.empty(&step.from, &step.worker, ASK).await == Some(0) {
+                steps.push(step);
+            } else {
+                self.node.keep(&step.from, &step.worker, ASK).await;
+            }
+        }
+        let noted = self.note_orders(ledger, steps.iter().map(|s| s.machine.as_str()).collect()).await;
+        for step in steps {
+            if noted {
+                self.shift(planner, &step).await;
+            } else {
+                self.node.keep(&step.from, &step.worker, ASK).await;
+            }
         }
     }
 
-    async fn shift(&self, planner: &mut Planner, step: &Move, off: bool) {
-        if !off && self.node.empty(&step.from, &step.worker, ASK).await != Some(0) {
-            self.node.keep(&step.from, &step.worker, ASK).await;
-            return;
+    /// Machines that another holder of the duty may have ordered within the lease of such orders.
+    fn held(&self, earlier: &BTreeMap<String, u64>) -> BTreeSet<String> {
+        let now = wall_ms();
+        let recent = |at: u64| now < at + self.lease + CLOCK_SLACK;
+        earlier.iter().filter(|(_, at)| recent(**at)).map(|(m, _)| m.clone()).collect()
+    }
+
+    /// Stores that machines are about to be ordered, for the next holder; false if that is not stored.
+    async fn note_orders(&self, ledger: &mut Ledger, machines: Vec<&str>) -> bool {
+        if machines.is_empty() {
+            return true;
         }
+        let now = wall_ms();
+        ledger.orders.retain(|_, at| now < *at + self.lease + CLOCK_SLACK);
+        ledger.orders.extend(machines.into_iter().map(|m| (m.to_owned(), now)));
+        let record = Record { key: ORDERS.into(), value: Some(ledger.to_text().into_bytes()) };
+        let noted = self.append(ledger, record).await;
+        if !noted {
+            tracing::info!("duty: orders not noted");
+        }
+        noted
+    }
+
+    /// Stores a record. One whose answer was lost is settled first, under its own sequence number.
+    async fn append(&self, ledger: &mut Ledger, record: Record) -> bool {
+        if let Some(unsettled) = ledger.unsettled.take()
+            && !self.append_once(ledger, unsettled).await
+        {
+            return false;
+        }
+        self.append_once(ledger, record).await
+    }
+
+    async fn append_once(&self, ledger: &mut Ledger, record: Record) -> bool {
+        let records = [record];
+        match self.store.append(self.part, self.epoch, ledger.sequence + 1, &records).await {
+            Ok(Appended::Stored) => {
+                ledger.sequence += 1;
+                return true;
+            }
+            Err(Fault { verdict: Verdict::MayHaveRun | Verdict::Ran, .. }) => {
+                ledger.unsettled = records.into_iter().next();
+            }
+            answer => tracing::info!(?answer, "duty: record not stored"),
+        }
+        false
+    }
+
+    async fn shift(&self, planner: &mut Planner, step: &Move) {
         if !self.node.holds(self.part, self.epoch) {
             return;
         }
@@ -155,8 +244,9 @@
         }
     }
 
-    async fn load(&self) -> Option<Waves> {
+    async fn load(&self) -> Option<(Waves, Ledger)> {
         let mut waves = Waves::default();
+        let mut ledger = Ledger::default();
         loop {
             if !self.node.holds(self.part, self.epoch) {
                 return None;
@@ -167,16 +257,26 @@
             }
             if let (Ok(Appended::Stored), Ok(items)) = (fenced, self.store.load(self.part).await) {
                 for (key, value) in items {
+                    if key == ORDERS {
+                        ledger.parse(&String::from_utf8_lossy(&value));
+                    }
                     let Some(number) = key.strip_prefix("m:").and_then(|n| n.parse().ok()) else { continue };
                     waves.stored.insert(number, Progress::parse(&String::from_utf8_lossy(&value)));
                 }
-                return Some(waves);
+                return Some((waves, ledger));
             }
             tokio::time::sleep(EVERY).await;
         }
     }
 
-    async fn advance(&self, waves: &mut Waves, list: &[Machine], setup: &Setup, loads: &[PoolLoad]) {
+    async fn advance(
+        &self,
+        waves: &mut Waves,
+        ledger: &mut Ledger,
+        list: &[Machine],
+        setup: &Setup,
+        loads: &[PoolLoad],
+    ) {
         let idle = idle(list, setup, loads);
         let numbers: Vec<u64> = waves.open.keys().copied().collect();
         for number in numbers {
@@ -186,17 +286,23 @@
             if !self.node.holds(self.part, self.epoch) {
                 return;
             }
-            for next in wave.plan(steady_ms(), list, &left, &idle) {
+            let steps = wave.plan(steady_ms(), list, &left, &idle);
+            let orders = steps.iter().filter_map(|n| match n {
+                Next::Order(name) => Some(name.as_str()),
+                Next::Empty(_) => None,
+            });
+            let noted = self.note_orders(ledger, orders.collect()).await;
+            for next in steps {
                 match next {
                     Next::Empty(name) => tracing::info!(wave = number, machine = %name, "duty: emptied"),
                     Next::Order(name) => {
-                        let outcome = self.order(&name, number).await;
+                        let outcome = if noted { self.order(&name, number).await } else { Outcome::NotDone };
                         wave.ordered(steady_ms(), &name, outcome);
                     }
                 }
             }
             let (begun, complete) = (wave.begun(), wave.complete());
-            self.record(waves, number, &begun, complete).await;
+            self.record(waves, ledger, number, &begun, complete).await;
         }
     }
 
@@ -230,7 +336,14 @@
     }
 
     /// Stores which machines have begun and shows the wave's state.
-    async fn record(&self, waves: &mut Waves, number: u64, begun: &BTreeSet<String>, complete: bool) {
+    async fn record(
+        &self,
+        waves: &mut Waves,
+        ledger: &mut Ledger,
+        number: u64,
+        begun: &BTreeSet<String>,
+        complete: bool,
+    ) {
         let mut progress = waves.stored.get(&number).cloned().unwrap_or_default();
         if progress.began == 0 || progress.begun != *begun {
             if progress.began == 0 {
@@ -239,17 +352,10 @@
             progress.begun.clone_from(begun);
             let value = progress.to_text().into_bytes();
             let record = Record { key: format!("m:{number}"), value: Some(value) };
-            match self.store.append(self.part, self.epoch, waves.sequence + 1, &[record]).await {
-                Ok(Appended::Stored) => {
-                    waves.sequence += 1;
-                    waves.stored.insert(number, progress);
-                }
-                Ok(Appended::Sequence(expected)) => waves.sequence = expected.saturating_sub(1),
-                answer => {
-                    tracing::info!(wave = number, ?answer, "duty: progress not stored");
-                    return;
-                }
+            if !self.append(ledger, record).await {
+                return;
             }
+            waves.stored.insert(number, progress);
         }
         if waves.shown.get(&number) != Some(&complete) {
             match self.store.show_wave(number, complete).await {
@@ -290,3 +396,12 @@
         |m: &Machine| loads.iter().any(|l| l.name == m.pool && l.wanted == 0 && l.idle.contains(&m.worker));
     list.iter().filter(|m| spare(m) || idle(m)).map(|m| m.name.clone()).collect()
 }
+
+/// A machine as the planners may see it: one that is held does not look up.
+fn hide(machine: &Machine, held: &BTreeSet<String>) -> Machine {
+    let state = match machine.state {
+        MachineState::Up if held.contains(&machine.name) => MachineState::Moving,
+        state => state,
+    };
+    Machine { state, ..machine.clone() }
+}
--- a/components/upkeep/src/lib.rs
+++ b/components/upkeep/src/lib.rs
@@ -75,6 +75,8 @@
     at_once: usize,
     began: Ms,
     span: Ms,
+    /// Machines that may be down through an order of an earlier holder.
+    others: usize,
 }
 
 impl Wave {
@@ -83,16 +85,22 @@
     pub fn new(machines: &[String], at_once: usize, began: Ms, span: Ms, done: &BTreeSet<String>) -> Self {
         let first = |m: &String| if done.contains(m) { Stage::Done } else { Stage::Pending };
         let stages = machines.iter().map(|m| (m.clone(), first(m))).collect();
-        Self { stages, at_once: at_once.max(1), began, span }
+        Self { stages, at_once: at_once.max(1), began, span, others: 0 }
     }
 
     /// Takes the platform's list: machines that are back are done, machines that left are not owed.
     pub fn see(&mut self, now: Ms, list: &[Machine]) {
         let listed: BTreeMap<&str, MachineState> = list.iter().map(|m| (m.name.as_str(), m.state)).collect();
         self.stages.retain(|name, _| listed.contains_key(name.as_str()));
+        self.others = 0;
         for (name, stage) in &mut self.stages {
             let Some(state) = listed.get(name.as_str()) else { continue };
             match (&stage, state) {
+                // An earlier holder of the duty has ordered it, and it is not back.
+                (Stage::Done, MachineState::Maintenance) => *stage = Stage::Begun(now),
+                (Stage::Pending | Stage::Emptying(_), MachineState::Maintenance | MachineState::Moving) => {
+                    self.others += 1;
+                }
                 // A list from before it went down may still say that it is up.
                 (Stage::Begun(at), MachineState::Up) if now >= *at + LIST_LAG => *stage = Stage::Done,
                 (Stage::Ordered(_), MachineState::Maintenance) => *stage = Stage::Begun(now),
@@ -153,7 +161,8 @@
     }
 
     fn down(&self) -> usize {
-        self.stages.values().filter(|s| matches!(s, Stage::Ordered(_) | Stage::Begun(_))).count()
+        self.others
+            + self.stages.values().filter(|s| matches!(s, Stage::Ordered(_) | Stage::Begun(_))).count()
     }
 
     fn orders(&mut self, now: Ms, list: &[Machine], left: &BTreeMap<String, usize>) -> Vec<Next> {
--- a/components/upkeep/tests/waves.rs
+++ b/components/upkeep/tests/waves.rs
@@ -133,6 +133,20 @@
     expect_that!(steps.len(), ge(8));
 }
 
+#[gtest]
+fn a_new_holder_counts_what_the_one_before_took_down() {
+    let mut list = machines(4);
+    list[0].state = MachineState::Maintenance;
+    list[1].state = MachineState::Moving;
+    let done = BTreeSet::from(["m0".to_owned()]);
+    let mut wave = Wave::new(&names(&list), 2, 0, SPAN, &done);
+    wave.see(SPAN, &list);
+    wave.plan(SPAN, &list, &BTreeMap::new(), &BTreeSet::new());
+    let left = ["m2", "m3"].map(|n| (n.to_owned(), 0)).into();
+    expect_that!(wave.plan(SPAN, &list, &left, &BTreeSet::new()), each(matches_pattern!(Next::Empty(_))));
+    expect_false!(wave.complete());
+}
+
 fn name_of(step: &Next) -> &str {
     match step {
         Next::Empty(name) | Next::Order(name) => name,
