--- a/components/shard/src/cancel.rs
+++ b/components/shard/src/cancel.rs
@@ -41,7 +41,6 @@
             let Some(run) = worker.runs.get_mut(&task) else { continue };
             run.stop_sent = now;
             let why = match run.phase {
-                RunPhase::Unclear => StopCause::Unanswered,
                 RunPhase::Stopping => run.why,
                 _ => StopCause::JobEnded,
             };
@@ -58,9 +57,9 @@
 
     fn unwanted(&self, task: &TaskRef, phase: RunPhase) -> bool {
         match phase {
-            RunPhase::Stopping | RunPhase::Unclear => true,
+            RunPhase::Stopping => true,
             RunPhase::Planned | RunPhase::Inherited | RunPhase::Stopped(_) | RunPhase::Sent => false,
-            RunPhase::Running(_) => {
+            RunPhase::Running(_) | RunPhase::Unclear(_) => {
                 let job = self.jobs.get(&task.at.job);
                 job.is_none_or(|j| j.verdict != Verdict::Open && j.shown == j.verdict)
             }
--- a/components/shard/src/report.rs
+++ b/components/shard/src/report.rs
@@ -111,18 +111,20 @@
             listed.insert(task, row.run);
             self.note_running(key, task, row);
         }
-        let absent: Vec<(TaskRef, bool)> = self.workers[key as usize]
-            .runs
-            .iter()
-            .filter(|(task, run)| listed.get(*task) != Some(&run.number))
-            .filter_map(|(task, run)| match run.phase {
-                RunPhase::Running(at) | RunPhase::Stopped(at) => (at < sent).then_some((*task, true)),
+        let mut gone = Vec::new();
+        for (task, run) in &mut self.workers[key as usize].runs {
+            if listed.get(task) == Some(&run.number) {
+                continue;
+            }
+            match run.phase {
+                RunPhase::Running(at) | RunPhase::Stopped(at) if at < sent => gone.push(*task),
                 // The look's fencing token bars whatever an earlier owner sent.
-                RunPhase::Inherited => Some((*task, true)),
-                RunPhase::Planned | RunPhase::Sent | RunPhase::Unclear | RunPhase::Stopping => None,
-            })
-            .collect();
-        for (task, _) in absent {
+                RunPhase::Inherited => gone.push(*task),
+                RunPhase::Unclear(at) if at < sent => run.stop(StopCause::Unanswered),
+                _ => {}
+            }
+        }
+        for task in gone {
             tracing::info!(worker = %self.workers[key as usize].info.id, ?task, "shard: run is gone without an end");
             self.release(key, &task);
             self.requeue(task, now);
@@ -147,7 +149,8 @@
             self.workers[key as usize].strangers.push((row.name.clone(), row.run));
             return;
         }
-        if matches!(run.phase, RunPhase::Sent | RunPhase::Unclear | RunPhase::Inherited) && run.stop_sent == 0
+        if matches!(run.phase, RunPhase::Sent | RunPhase::Unclear(_) | RunPhase::Inherited)
+            && run.stop_sent == 0
         {
             run.phase = RunPhase::Running(now);
         }
@@ -251,7 +254,7 @@
             }
             StartReply::NoAnswer => {
                 if run.phase == RunPhase::Sent {
-                    run.phase = RunPhase::Unclear;
+                    run.phase = RunPhase::Unclear(now);
                 }
             }
             StartReply::Fenced => self.fenced = true,
--- a/components/shard/src/worker.rs
+++ b/components/shard/src/worker.rs
@@ -36,8 +36,8 @@
     Sent,
     /// Started; answered or seen at this time.
     Running(Ms),
-    /// The start's answer is lost; a stop is to settle it.
-    Unclear,
+    /// The start's answer is lost since this time. It goes on if a later look lists it, else it is barred.
+    Unclear(Ms),
     /// Stored by an earlier owner; the worker has not been asked yet.
     Inherited,
     /// A stop was answered at this time: the run ends, or never was.
--- a/components/shard/tests/fleet/losses.rs
+++ b/components/shard/tests/fleet/losses.rs
@@ -83,6 +83,18 @@
     expect_that!(fleet.state("a"), some(eq(JobState::Completed)));
 }
 
+#[gtest]
+fn an_unanswered_start_that_runs_is_kept() {
+    let mut fleet = Fleet::new(2, 1_000);
+    fleet.lose_starts = true;
+    fleet.submit(lasting("a", 1, 1_000));
+    fleet.run(900);
+    fleet.lose_starts = false;
+    fleet.run(5_000);
+    expect_that!(fleet.orders.len(), eq(1));
+    expect_that!(fleet.stops, is_empty());
+}
+
 #[gtest]
 fn runs_of_a_worker_that_was_born_again_start_anew() {
     let mut fleet = Fleet::new(1, 4_000);
