--- a/components/capacity/src/lib.rs
+++ b/components/capacity/src/lib.rs
@@ -102,8 +102,8 @@
         needs.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.name.cmp(&b.1.name)));
         for (mut missing, load) in needs {
             while missing > 0 {
-                let fits = |m: &&Machine| m.pool != load.name && !self.is_barred(&m.name, &load.name);
-                let Some(at) = free.iter().position(|m| fits(&m)) else { break };
+                let fits = |m: &Machine| m.pool != load.name && !self.is_barred(&m.name, &load.name);
+                let Some(at) = free.iter().position(|m| fits(m)) else { break };
                 let machine = free.remove(at);
                 missing = missing.saturating_sub(machine.cpu.max(1));
                 steps.push(step(machine, &load.name));
