--- a/components/capacity/src/lib.rs
+++ b/components/capacity/src/lib.rs
@@ -59,7 +59,7 @@
 #[derive(Debug)]
 pub struct Planner {
     limits: Limits,
-    /// When each pool last had waiting tasks.
+    /// When each pool last had less room than its tasks wanted.
     pressed: HashMap<String, Ms>,
     /// Machines on their way, their pool and when they were sent.
     sent: HashMap<String, (String, Ms)>,
@@ -116,7 +116,7 @@
     fn note(&mut self, now: Ms, machines: &[Machine], loads: &[PoolLoad]) {
         for load in loads {
             let last = self.pressed.entry(load.name.clone()).or_insert(now);
-            if load.wanted > 0 {
+            if load.wanted > load.room.saturating_sub(load.used) {
                 *last = now;
             }
         }
--- a/components/relay/src/duty.rs
+++ b/components/relay/src/duty.rs
@@ -136,7 +136,7 @@
         Limits {
             move_time: self.move_time,
             calm: CALM,
-            rest: self.move_time + CALM,
+            rest: self.move_time * 2,
             keep: KEEP,
             reserve: RESERVE,
         }
