--- a/components/relay/src/member.rs
+++ b/components/relay/src/member.rs
@@ -79,4 +79,6 @@
     if let Err(error) = store.leave(&member).await {
         tracing::warn!(%error, "member: no answer to leave");
     }
+    // Calls are still passed on, so those that watch the standing go on until the process ends.
+    standing.closed().await;
 }
