--- a/components/relay/src/duty.rs
+++ b/components/relay/src/duty.rs
@@ -234,6 +234,7 @@
             return;
         }
         let answer = self.machines.shift(&step.machine, &step.to, self.node.name(), self.epoch).await;
+        metrics::counter!("lagoonrelay_machine_moves_total").increment(1);
         tracing::info!(machine = %step.machine, from = %step.from, to = %step.to, ?answer, "duty: machine moves");
         match answer {
             Ok(Ordered::Done) | Err(Fault { verdict: Verdict::MayHaveRun | Verdict::Ran, .. }) => {
--- a/components/relay/src/owner.rs
+++ b/components/relay/src/owner.rs
@@ -82,6 +82,7 @@
         let own = letters.clone();
         tokio::spawn(async move {
             let Some(shard) = take_over(part, epoch, &around).await else { return };
+            metrics::counter!("lagoonrelay_shards_taken_total").increment(1);
             Driver::new(part, shard, around, own).run(inbox).await;
         });
         Self { letters }
@@ -219,7 +220,8 @@
 
     fn step(&mut self) -> bool {
         let sure = self.around.standing.borrow().sure() && self.around.roster.borrow().is_some();
-        for action in self.shard.step(steady_ms(), wall_ms(), sure) {
+        let actions = self.shard.step(steady_ms(), wall_ms(), sure);
+        for action in actions {
             if action == Action::Lost {
                 return false;
             }
@@ -377,6 +379,7 @@
                 Err(fault) if fault.verdict == ::edge::Verdict::NotRun => StartReply::NotSent,
                 Err(_) => StartReply::NoAnswer,
             };
+            metrics::counter!("lagoonrelay_starts_total", "reply" => format!("{reply:?}")).increment(1);
             tracing::info!(task = %order.name, run = order.run, worker = %order.worker, ?reply, "owner: start");
             let input = Input::Started { worker: order.worker, name: order.name, run: order.run, reply };
             tell(&letters, input).await;
@@ -407,6 +410,7 @@
                 Ok(Looked::Fenced) => Input::LookFailed { worker, other: false, fenced: true },
                 Ok(Looked::OtherLife) => Input::LookFailed { worker, other: true, fenced: false },
                 Err(error) => {
+                    metrics::counter!("lagoonrelay_looks_failed_total").increment(1);
                     tracing::debug!(%worker, %error, "owner: look not answered");
                     Input::LookFailed { worker, other: false, fenced: false }
                 }
@@ -421,6 +425,7 @@
         let (store, letters) = (Arc::clone(&self.around.store), self.letters.clone());
         let (part, epoch) = (self.part, self.shard.epoch());
         tokio::spawn(async move {
+            let began = Instant::now();
             let mut certain = true;
             let mut tries = 0;
             let input = loop {
@@ -446,6 +451,7 @@
                     return;
                 }
             };
+            metrics::histogram!("lagoonrelay_append_seconds").record(began.elapsed());
             match input {
                 Some(input) => tell(&letters, input).await,
                 None => {
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -3,8 +3,11 @@
 use std::io::IsTerminal;
 use std::str::FromStr;
 
+use tracing_appender::non_blocking::WorkerGuard;
 use tracing_subscriber::EnvFilter;
 
+/// Lines that wait for the writing thread; a few hundred bytes each.
+const BUFFERED_LINES: usize = 8_192;
 /// Levels if the environment names none.
 const DEFAULT_LEVELS: &str = "info,poem=warn";
 
@@ -44,16 +47,22 @@
     }
 }
 
-/// Starts logging for a daemon on the platform, which collects standard output.
-pub fn start_collected(format: LogFormat) {
+/// Starts logging for a daemon on the platform, which collects standard output. Lines are written by a thread
+/// of their own and dropped when it cannot keep up, so that logging never blocks; the guard writes what is left.
+pub fn start_collected(format: LogFormat) -> WorkerGuard {
     let filter = EnvFilter::new(DEFAULT_LEVELS);
+    let (lines, guard) = tracing_appender::non_blocking::NonBlockingBuilder::default()
+        .lossy(true)
+        .buffered_lines_limit(BUFFERED_LINES)
+        .finish(std::io::stdout());
     let logs = tracing_subscriber::fmt()
         .with_env_filter(filter)
         .with_ansi(false)
         .with_target(false)
-        .with_writer(std::io::stdout);
+        .with_writer(lines);
     match format {
         LogFormat::Text => logs.init(),
         LogFormat::Json => logs.json().init(),
     }
+    guard
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -9,10 +9,13 @@
 fn main() -> ExitCode {
     let flags = cli::Lagoonrelay::read_or_exit();
     let format = flags.log_format.unwrap_or_default();
-    match flags.subcommand {
-        cli::LagoonrelayCmd::Relay(_) => logging::start_collected(format),
-        _ => logging::start(format),
-    }
+    let _guard = match flags.subcommand {
+        cli::LagoonrelayCmd::Relay(_) => Some(logging::start_collected(format)),
+        _ => {
+            logging::start(format);
+            None
+        }
+    };
     match cmd::run(flags.subcommand) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
