--- a/components/relay/src/node.rs
+++ b/components/relay/src/node.rs
@@ -31,6 +31,10 @@
 /// Time for which an owner that cannot be reached is looked for, before the call is refused. A change of owner
 /// takes longer, so waiting on would only hold the caller back.
 const PATIENCE: Duration = Duration::from_millis(300);
+/// Pause between questions to other daemons while the store does not answer.
+const HEAR_EVERY: Duration = Duration::from_millis(200);
+/// Time in which another daemon answers such a question.
+const HEAR_ANSWER: Duration = Duration::from_millis(200);
 /// Time for one try at another daemon, within a caller's time.
 const ONE_TRY: Duration = Duration::from_millis(700);
 
@@ -102,10 +106,11 @@
     pub fn start(parts: Parts, listener: TcpListener) -> Arc<Self> {
         let (standing_tx, standing) = watch::channel(Standing::default());
         let (wishes_tx, wishes) = watch::channel(Wishes::default());
+        let wishes_tx = Arc::new(wishes_tx);
         let (roster_tx, roster) = watch::channel(None);
         let (stopping, stop) = watch::channel(false);
         tokio::spawn(member::run(Arc::clone(&parts.store), parts.mesh.to_string(), standing_tx, stop));
-        tokio::spawn(documents::run(Arc::clone(&parts.store), wishes_tx));
+        tokio::spawn(documents::run(Arc::clone(&parts.store), Arc::clone(&wishes_tx)));
         tokio::spawn(roster::run(Arc::clone(&parts.store), roster_tx));
         let node = Arc::new(Self {
             parts,
@@ -125,6 +130,7 @@
         });
         tokio::spawn(Arc::clone(&node).keep_shards());
         tokio::spawn(Arc::clone(&node).keep_owners());
+        tokio::spawn(Arc::clone(&node).hear_documents(wishes_tx));
         let own = Arc::clone(&node);
         tokio::spawn(mesh::serve(listener, move |part, want| {
             let own = Arc::clone(&own);
@@ -218,9 +224,11 @@
     }
 
     async fn ask_here(&self, part: u32, want: Want) -> Reply {
-        if let Want::Rights(report) = want {
-            return self.divide(part, report);
-        }
+        let want = match want {
+            Want::Rights(report) => return self.divide(part, report),
+            Want::Documents(place) => return self.documents(place),
+            want => want,
+        };
         let owner = self.owned.lock().get(&part).filter(|o| !o.ended()).cloned();
         match owner {
             Some(owner) => owner.ask(want).await,
@@ -302,6 +310,52 @@
         self.setup()?.parts(self.parts.parts - 1).get(service).copied()
     }
 
+    /// Operators' documents for a daemon that the store turns away.
+    fn documents(&self, place: u64) -> Reply {
+        let wishes = self.wishes.borrow();
+        if wishes.place <= place {
+            return Reply::of(Kind::Unknown);
+        }
+        match serde_json::to_string(&*wishes) {
+            Ok(text) => Reply { text, ..Reply::of(Kind::Documents) },
+            Err(error) => {
+                tracing::warn!(%error, "node: documents not encoded");
+                Reply::of(Kind::Unset)
+            }
+        }
+    }
+
+    /// While the store does not answer, asks the other daemons in turn for operators' documents.
+    async fn hear_documents(self: Arc<Self>, wishes: Arc<watch::Sender<Wishes>>) {
+        let mut turn = 0;
+        loop {
+            tokio::time::sleep(HEAR_EVERY).await;
+            let (stale, place) = {
+                let wishes = self.wishes.borrow();
+                (wishes.stale(), wishes.place)
+            };
+            if !stale {
+                continue;
+            }
+            let mut peers: Vec<SocketAddr> = self.owners.lock().values().copied().collect();
+            peers.retain(|p| *p != self.parts.mesh);
+            peers.sort_unstable();
+            peers.dedup();
+            let Some(peer) = peers.get(turn % peers.len().max(1)) else { continue };
+            turn += 1;
+            let Ok(reply) = self.mesh.ask(*peer, 0, Want::Documents(place), HEAR_ANSWER).await else {
+                continue;
+            };
+            if reply.kind() != Kind::Documents {
+                continue;
+            }
+            match serde_json::from_str::<Wishes>(&reply.text) {
+                Ok(later) => drop(wishes.send_if_modified(|w| w.merge(later))),
+                Err(error) => tracing::warn!(%error, "node: documents of another daemon not understood"),
+            }
+        }
+    }
+
     /// Starts and ends ownership as the group deals shards out.
     async fn keep_shards(self: Arc<Self>) {
         let mut standing = self.standing.clone();
@@ -418,6 +472,6 @@
         Kind::Unknown => Some(Outcome::Unknown),
         Kind::State => reply.as_state().map(Outcome::State),
         Kind::Count => Some(Outcome::Count(reply.value)),
-        Kind::Unset | Kind::Rights | Kind::Load | Kind::NotOwner | Kind::Unsure => None,
+        Kind::Unset | Kind::Rights | Kind::Load | Kind::Documents | Kind::NotOwner | Kind::Unsure => None,
     }
 }
--- a/components/relay/src/owner.rs
+++ b/components/relay/src/owner.rs
@@ -270,8 +270,8 @@
                 self.input(Input::Cordon { worker: worker.clone(), on: true });
                 self.shard.left(&worker).map_or(Reply::of(Kind::Unset), Reply::count)
             }
-            // The broker answers this, not a shard.
-            Want::Rights(_) => Reply::of(Kind::Unset),
+            // The daemon answers these, not a shard.
+            Want::Rights(_) | Want::Documents(_) => Reply::of(Kind::Unset),
             Want::Load(service) => {
                 let load = Some(self.shard.load_of(&service).into());
                 Reply { load, ..Reply::of(Kind::Load) }
--- a/components/relay/src/reply.rs
+++ b/components/relay/src/reply.rs
@@ -12,7 +12,7 @@
     #[prost(uint32, tag = "2")]
     pub part: u32,
     /// What is asked.
-    #[prost(oneof = "Want", tags = "3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "Want", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub want: Option<Want>,
 }
 
@@ -40,6 +40,9 @@
     /// Load of a service's workers.
     #[prost(string, tag = "9")]
     Load(String),
+    /// Operators' documents later than this place.
+    #[prost(uint64, tag = "11")]
+    Documents(u64),
     /// Use a worker again that was to be emptied.
     #[prost(string, tag = "10")]
     Keep(String),
@@ -173,6 +176,8 @@
     Rights = 8,
     /// Load of workers: see `load`.
     Load = 9,
+    /// Operators' documents: see `text`.
+    Documents = 10,
 }
 
 /// An answer.
@@ -193,13 +198,16 @@
     /// Load of workers.
     #[prost(message, optional, tag = "5")]
     pub load: Option<LoadRow>,
+    /// Documents as JSON.
+    #[prost(string, tag = "6")]
+    pub text: String,
 }
 
 impl Reply {
     /// An answer without a value.
     #[must_use]
     pub const fn of(kind: Kind) -> Self {
-        Self { id: 0, kind: kind as i32, value: 0, rows: Vec::new(), load: None }
+        Self { id: 0, kind: kind as i32, value: 0, rows: Vec::new(), load: None, text: String::new() }
     }
 
     /// A count.
@@ -210,7 +218,7 @@
 
     /// A job's state.
     #[must_use]
-    pub const fn state(state: JobState) -> Self {
+    pub fn state(state: JobState) -> Self {
         let value = match state {
             JobState::Queued => 0,
             JobState::Running => 1,
@@ -218,7 +226,7 @@
             JobState::Failed => 3,
             JobState::Cancelled => 4,
         };
-        Self { id: 0, kind: Kind::State as i32, value, rows: Vec::new(), load: None }
+        Self { value, ..Self::of(Kind::State) }
     }
 
     /// New parts of limits.
--- a/components/relay/src/setup.rs
+++ b/components/relay/src/setup.rs
@@ -3,13 +3,14 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::hash::{Hash, Hasher};
 
+use serde::{Deserialize, Serialize};
 use shard::Res;
 
 /// Amount that stands for no limit: far above any fleet, far below an overflow of sums.
 pub const NO_LIMIT: u64 = 1 << 50;
 
 /// A queue: where callers submit jobs.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Queue {
     /// Name.
     pub name: String,
@@ -32,7 +33,7 @@
 }
 
 /// A service: a pool of workers.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Pool {
     /// Name.
     pub name: String,
@@ -41,7 +42,7 @@
 }
 
 /// A customer.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Customer {
     /// Name.
     pub name: String,
@@ -54,7 +55,7 @@
 }
 
 /// One version of the configuration.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Setup {
     /// Rises with each change.
     pub version: u64,
@@ -73,7 +74,7 @@
 }
 
 /// Machines due for maintenance.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Wave {
     /// Number.
     pub number: u64,
--- a/components/relay/src/watch.rs
+++ b/components/relay/src/watch.rs
@@ -4,17 +4,27 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
+use crate::clock::steady_ms;
 use crate::edge::{Document, Store};
 use crate::setup::{Setup, Wave};
 
 /// Pause after a failed read.
 const AGAIN: Duration = Duration::from_millis(200);
 
+/// Age of the last read at which it counts as failed, in milliseconds: reads are answered within 1,200.
+const STALE_MS: u64 = 1_400;
+
 /// What operators want.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Wishes {
+    /// Place in the operators' topic up to which this was read.
+    pub place: u64,
+    /// Steady time of the last read that was answered; 0 after a failed one.
+    #[serde(skip)]
+    pub read_at: u64,
     /// Newest configuration; `None` until one was read.
     pub setup: Option<Arc<Setup>>,
     /// Zones that are taken out.
@@ -23,8 +33,28 @@
     pub waves: BTreeMap<u64, Wave>,
 }
 
+impl Wishes {
+    /// The store has not answered lately.
+    #[must_use]
+    pub fn stale(&self) -> bool {
+        steady_ms() > self.read_at + STALE_MS
+    }
+
+    /// Takes what another daemon has read, if that is later; true if it was.
+    pub fn merge(&mut self, other: Self) -> bool {
+        if other.place <= self.place {
+            return false;
+        }
+        let version = |w: &Self| w.setup.as_ref().map_or(0, |s| s.version);
+        let setup = if version(&other) > version(self) { other.setup } else { self.setup.take() };
+        *self = Self { setup, read_at: self.read_at, ..other };
+        tracing::info!(place = self.place, version = version(self), "watch: documents from another daemon");
+        true
+    }
+}
+
 /// Reads documents until the process ends.
-pub async fn run(store: Arc<dyn Store>, wishes: watch::Sender<Wishes>) {
+pub async fn run(store: Arc<dyn Store>, wishes: Arc<watch::Sender<Wishes>>) {
     let mut next = None;
     let mut down = false;
     let mut keys: BTreeMap<String, Document> = BTreeMap::new();
@@ -47,15 +77,27 @@
                         None => keys.remove(&key).filter(|d| !matches!(d, Document::Setup(_))),
                     };
                 }
-                if changed {
-                    wishes.send_modify(|w| take(w, &keys));
-                }
+                let place = changes.next;
+                wishes.send_if_modified(|w| {
+                    w.read_at = steady_ms();
+                    // Another daemon may have told us of later documents, which are read again in time.
+                    let news = changed && place >= w.place;
+                    if news {
+                        w.place = place;
+                        take(w, &keys);
+                    }
+                    news
+                });
             }
             Err(error) => {
                 if !down {
                     tracing::warn!(%error, "watch: operators' documents lost");
                 }
                 down = true;
+                wishes.send_if_modified(|w| {
+                    w.read_at = 0;
+                    false
+                });
                 tokio::time::sleep(AGAIN).await;
             }
         }
--- a/components/relay/tests/daemons.rs
+++ b/components/relay/tests/daemons.rs
@@ -445,6 +445,22 @@
     }
 }
 
+#[tokio::test]
+async fn a_daemon_that_the_store_turns_away_learns_of_a_new_configuration() {
+    let (platform, daemons) = fleet(3).await;
+    for daemon in &daemons {
+        until("a configuration", || async { daemon.node.setup().is_some() }).await;
+        submitted(&daemon.node, 1).await;
+    }
+    let lost = &daemons[0];
+    {
+        let mut state = platform.state.lock();
+        state.turned_away.insert(lost.member.clone());
+        state.version = 2;
+    }
+    until("the new version", || async { lost.node.setup().is_some_and(|s| s.version == 2) }).await;
+}
+
 #[tokio::test]
 async fn jobs_outlive_the_loss_of_all_daemons() {
     let (platform, daemons) = fleet(2).await;
--- a/components/shard/src/model.rs
+++ b/components/shard/src/model.rs
@@ -4,7 +4,7 @@
 use std::ops::{Add, AddAssign, Sub, SubAssign};
 
 /// An amount of what a worker has.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Res {
     /// Thousandths of a core.
     pub cpu: u64,
