--- a/components/relay/src/duty.rs
+++ b/components/relay/src/duty.rs
@@ -12,6 +12,7 @@
 
 use crate::clock::{steady_ms, wall_ms};
 use crate::edge::{Appended, Machines, Ordered, Store};
+use crate::ledger::{Ledger, Place, Progress};
 use crate::node::Node;
 use crate::setup::{Setup, Wave as Wish};
 
@@ -58,50 +59,6 @@
     shown: HashMap<u64, bool>,
 }
 
-/// The duty's partition, and which machines were ordered lately.
-#[derive(Debug, Default)]
-struct Ledger {
-    sequence: u64,
-    /// A record whose answer was lost.
-    unsettled: Option<Record>,
-    /// Wall clock of the last order for each machine, stored before the order is sent.
-    orders: BTreeMap<String, u64>,
-}
-
-impl Ledger {
-    fn parse(&mut self, text: &str) {
-        let row = |line: &str| {
-            let (machine, at) = line.split_once(' ')?;
-            Some((machine.to_owned(), at.parse().ok()?))
-        };
-        self.orders = text.lines().filter_map(row).collect();
-    }
-
-    fn to_text(&self) -> String {
-        self.orders.iter().map(|(machine, at)| format!("{machine} {at}\n")).collect()
-    }
-}
-
-/// What is stored of a wave: when it was first seen, on the wall clock, and which machines have begun.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-struct Progress {
-    began: u64,
-    begun: BTreeSet<String>,
-}
-
-impl Progress {
-    fn parse(text: &str) -> Self {
-        let mut words = text.split_whitespace();
-        let began = words.next().and_then(|w| w.parse().ok()).unwrap_or(0);
-        Self { began, begun: words.map(str::to_owned).collect() }
-    }
-
-    fn to_text(&self) -> String {
-        let names = self.begun.iter().map(String::as_str);
-        std::iter::once(self.began.to_string().as_str()).chain(names).collect::<Vec<_>>().join(" ")
-    }
-}
-
 impl Duty {
     /// Runs until the duty is lost.
     pub async fn run(self) {
@@ -132,6 +89,10 @@
         tracing::info!(epoch = self.epoch, "duty: given up");
     }
 
+    fn place(&self) -> Place<'_> {
+        Place { store: &*self.store, part: self.part, epoch: self.epoch }
+    }
+
     const fn limits(&self) -> Limits {
         Limits {
             move_time: self.move_time,
@@ -197,38 +158,13 @@
         ledger.orders.retain(|_, at| now < *at + self.lease + CLOCK_SLACK);
         ledger.orders.extend(machines.into_iter().map(|m| (m.to_owned(), now)));
         let record = Record { key: ORDERS.into(), value: Some(ledger.to_text().into_bytes()) };
-        let noted = self.append(ledger, record).await;
+        let noted = ledger.append(&self.place(), record).await;
         if !noted {
             tracing::info!("duty: orders not noted");
         }
         noted
     }
 
-    /// Stores a record. One whose answer was lost is settled first, under its own sequence number.
-    async fn append(&self, ledger: &mut Ledger, record: Record) -> bool {
-        if let Some(unsettled) = ledger.unsettled.take()
-            && !self.append_once(ledger, unsettled).await
-        {
-            return false;
-        }
-        self.append_once(ledger, record).await
-    }
-
-    async fn append_once(&self, ledger: &mut Ledger, record: Record) -> bool {
-        let records = [record];
-        match self.store.append(self.part, self.epoch, ledger.sequence + 1, &records).await {
-            Ok(Appended::Stored) => {
-                ledger.sequence += 1;
-                return true;
-            }
-            Err(Fault { verdict: Verdict::MayHaveRun | Verdict::Ran, .. }) => {
-                ledger.unsettled = records.into_iter().next();
-            }
-            answer => tracing::info!(?answer, "duty: record not stored"),
-        }
-        false
-    }
-
     async fn shift(&self, planner: &mut Planner, step: &Move) {
         if !self.node.holds(self.part, self.epoch) {
             return;
@@ -353,7 +289,7 @@
             progress.begun.clone_from(begun);
             let value = progress.to_text().into_bytes();
             let record = Record { key: format!("m:{number}"), value: Some(value) };
-            if !self.append(ledger, record).await {
+            if !ledger.append(&self.place(), record).await {
                 return;
             }
             waves.stored.insert(number, progress);
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -7,6 +7,7 @@
 mod clock;
 mod duty;
 pub mod edge;
+mod ledger;
 mod member;
 mod mesh;
 mod node;
--- /dev/null
+++ b/components/shard/src/batch.rs
@@ -0,0 +1,142 @@
+//! Batches of records: one at a time is on its way to the log.
+
+use crate::Ms;
+use crate::io::Action;
+use crate::job::{JobKey, TaskRef};
+use crate::machine::Shard;
+use crate::record::{self, Record, RunRecord};
+use crate::worker::{RunPhase, WorkerKey};
+
+/// A batch on its way to the log.
+#[derive(Debug, Default)]
+pub(crate) struct Flight {
+    pub since: Ms,
+    pub jobs: Vec<JobKey>,
+    pub new_jobs: Vec<JobKey>,
+    pub cancels: Vec<(JobKey, u64)>,
+    pub workers: Vec<WorkerKey>,
+    pub starts: Vec<(WorkerKey, TaskRef, u32)>,
+    pub ends: Vec<(WorkerKey, u64, u64)>,
+    pub extra: Vec<Record>,
+}
+
+impl Shard {
+    /// The log has not answered a batch for long.
+    pub(crate) fn stalled(&self) -> bool {
+        self.flight.as_ref().is_some_and(|f| self.now >= f.since + self.limits.stalled)
+    }
+
+    /// Refuses new jobs that have not been sent to the log while it is stalled: it is certain that they will
+    /// not run, and their callers can try again.
+    pub(crate) fn refuse_unsent(&mut self) {
+        if !self.stalled() {
+            return;
+        }
+        let sent = self.flight.as_ref().map(|f| f.new_jobs.clone()).unwrap_or_default();
+        let unsent = |k: &&JobKey| !sent.contains(k) && self.jobs.get(k).is_some_and(|j| !j.stored);
+        let keys: Vec<JobKey> = self.dirty.iter().filter(unsent).copied().collect();
+        for key in keys {
+            self.refuse(key);
+        }
+    }
+
+    /// Sends one batch to the log if none is on its way.
+    pub(crate) fn flush(&mut self) {
+        if self.flight.is_some() {
+            return;
+        }
+        if self.dirty.is_empty() && self.outbox.is_empty() && self.dirty_workers.is_empty() {
+            self.acknowledge_all();
+            return;
+        }
+        let extra = std::mem::take(&mut self.outbox);
+        let mut flight = Flight { since: self.now, extra, ..Flight::default() };
+        let mut records = flight.extra.clone();
+        self.pack_jobs(&mut flight, &mut records);
+        self.pack_workers(&mut flight, &mut records);
+        if records.is_empty() {
+            return;
+        }
+        self.flight = Some(flight);
+        self.actions.push(Action::Append(records));
+    }
+
+    fn pack_jobs(&mut self, flight: &mut Flight, records: &mut Vec<Record>) {
+        for key in std::mem::take(&mut self.dirty) {
+            let Some(job) = self.jobs.get_mut(&key) else { continue };
+            if job.stored {
+                flight.jobs.push(key);
+            } else {
+                records.push(record::job(&job.spec));
+                flight.new_jobs.push(key);
+            }
+            if job.stored || job.verdict != crate::Verdict::Open {
+                records.push(record::progress(job));
+            }
+            flight.cancels.extend(job.cancels.drain(..).map(|t| (key, t)));
+        }
+    }
+
+    /// Packs which runs may be on the workers that changed, and what ends have been seen.
+    fn pack_workers(&mut self, flight: &mut Flight, records: &mut Vec<Record>) {
+        for key in std::mem::take(&mut self.dirty_workers) {
+            let worker = &self.workers[key as usize];
+            let mut runs = Vec::with_capacity(worker.runs.len());
+            for (task, run) in &worker.runs {
+                let Some(name) = self.run_name(task) else { continue };
+                runs.push(RunRecord { name: name.to_string(), run: run.number });
+                if run.phase == RunPhase::Planned {
+                    flight.starts.push((key, *task, run.number));
+                }
+            }
+            flight.workers.push(key);
+            if !runs.is_empty() || worker.recorded {
+                records.push(record::worker(&worker.info.id, &worker.info.addr, runs));
+                self.workers[key as usize].recorded = true;
+            }
+        }
+        flight.ends = (0..).zip(&self.workers).map(|(key, w)| (key, w.born, w.ends_seen)).collect();
+    }
+
+    /// Nothing waits to be stored, so all ends that were seen may be acknowledged.
+    fn acknowledge_all(&mut self) {
+        for worker in &mut self.workers {
+            worker.ends_stored = worker.ends_seen;
+        }
+    }
+
+    /// The batch in flight is stored.
+    pub(crate) fn stored(&mut self) {
+        let Some(flight) = self.flight.take() else { return };
+        for (key, born, seen) in flight.ends {
+            let worker = &mut self.workers[key as usize];
+            if worker.born == born {
+                worker.ends_stored = worker.ends_stored.max(seen);
+            }
+        }
+        self.cleared.extend(flight.starts);
+        for key in flight.jobs.into_iter().chain(flight.new_jobs) {
+            self.job_stored(key);
+        }
+        for (_, ticket) in flight.cancels {
+            self.actions.push(Action::Cancelled(ticket));
+        }
+    }
+
+    /// The batch in flight is surely not stored: new jobs are refused, the rest is stored later.
+    pub(crate) fn not_stored(&mut self) {
+        let Some(flight) = self.flight.take() else { return };
+        for key in flight.new_jobs {
+            self.refuse(key);
+        }
+        for (key, ticket) in flight.cancels {
+            if let Some(job) = self.jobs.get_mut(&key) {
+                job.cancels.push(ticket);
+            }
+        }
+        self.dirty_workers.extend(flight.workers);
+        self.dirty.extend(flight.jobs.into_iter().filter(|k| self.jobs.contains_key(k)));
+        let newer = std::mem::replace(&mut self.outbox, flight.extra);
+        self.outbox.extend(newer);
+    }
+}
--- a/components/shard/src/cancel.rs
+++ b/components/shard/src/cancel.rs
@@ -1,7 +1,8 @@
 //! Cancellations, and the stops of runs that are not wanted any more.
 
+use crate::io::Action;
 use crate::job::TaskRef;
-use crate::machine::{Action, Shard};
+use crate::machine::Shard;
 use crate::model::Verdict;
 use crate::worker::{Contact, RunPhase, StopCause};
 
--- a/components/shard/src/health.rs
+++ b/components/shard/src/health.rs
@@ -1,8 +1,9 @@
 //! Workers that do badly: unreachable, refusing, failing everything, standing still.
 
 use crate::Ms;
+use crate::io::StartReply;
 use crate::job::TaskRef;
-use crate::machine::{Shard, StartReply};
+use crate::machine::Shard;
 use crate::worker::{Contact, RunPhase, StopCause, WorkerKey};
 
 /// Pause before an unanswered look is sent again, in milliseconds.
--- a/components/shard/src/intake.rs
+++ b/components/shard/src/intake.rs
@@ -1,14 +1,12 @@
 //! Acceptance of jobs, their occurrences, and the list of workers.
 
+use crate::io::Action;
 use crate::job::{Job, JobKey, Stage, StepRef, Turn};
-use crate::machine::{Action, Shard};
+use crate::machine::Shard;
 use crate::model::{JobSpec, Verdict};
 use crate::record;
 use crate::worker::{Worker, WorkerInfo, WorkerKey};
 
-/// Times of a repeating job are opened this long before they are due, in milliseconds.
-const OPEN_AHEAD: u64 = 0;
-
 impl Shard {
     pub(crate) fn submit(&mut self, ticket: u64, mut spec: JobSpec) {
         if let Some(job) = self.ids.get(&spec.id).and_then(|k| self.jobs.get_mut(k)) {
@@ -104,9 +102,7 @@
             }
             let next = job.turns.iter().map(|t| t.number + 1).chain(job.complete.iter().map(|n| n + 1));
             let mut number = next.max().unwrap_or(0);
-            while number < repeat.times
-                && repeat.first + u64::from(number) * repeat.every <= wall + OPEN_AHEAD
-            {
+            while number < repeat.times && repeat.first + u64::from(number) * repeat.every <= wall {
                 due.push((key, number));
                 number += 1;
             }
--- a/components/shard/src/lib.rs
+++ b/components/shard/src/lib.rs
@@ -9,11 +9,13 @@
 //! what runs there. Runs on workers that do not answer are waited out until their lease has surely lapsed; all
 //! other work goes on.
 
+mod batch;
 mod cancel;
 mod drain;
 mod ends;
 mod health;
 mod intake;
+mod io;
 mod job;
 mod load;
 mod machine;
@@ -26,7 +28,8 @@
 mod view;
 mod worker;
 
-pub use machine::{Action, Input, Limits, Shard, StartOrder, StartReply};
+pub use io::{Action, Input, Limits, StartOrder, StartReply};
+pub use machine::Shard;
 pub use model::{JobSpec, Repeat, Res, RunName, StepSpec, Verdict};
 pub use record::{Record, WorkerRecord};
 pub use report::{EndRow, How, Report, RunRow};
--- a/components/shard/src/pace.rs
+++ b/components/shard/src/pace.rs
@@ -1,8 +1,9 @@
 //! Speed of filler tasks beside tasks that serve users.
 
 use crate::Ms;
+use crate::io::Action;
 use crate::job::TaskRef;
-use crate::machine::{Action, Shard};
+use crate::machine::Shard;
 use crate::worker::{RunPhase, WorkerKey};
 
 /// Part of a tail target, in percent, above which fillers are slowed down.
--- a/components/shard/src/place.rs
+++ b/components/shard/src/place.rs
@@ -1,7 +1,8 @@
 //! Placement: which worker gets a task.
 
+use crate::io::{Action, StartOrder};
 use crate::job::{Stage, StepRef, TaskRef};
-use crate::machine::{Action, Shard, StartOrder};
+use crate::machine::Shard;
 use crate::model::{Res, StepSpec, Verdict};
 use crate::worker::{Contact, Run, RunPhase, WorkerKey};
 
--- a/components/shard/src/report.rs
+++ b/components/shard/src/report.rs
@@ -3,8 +3,9 @@
 use std::collections::HashMap;
 
 use crate::Ms;
+use crate::io::StartReply;
 use crate::job::{Stage, TaskRef};
-use crate::machine::{Shard, StartReply};
+use crate::machine::Shard;
 use crate::model::RunName;
 use crate::worker::{Contact, Run, RunPhase, StopCause, WorkerKey};
 
--- a/components/shard/src/view.rs
+++ b/components/shard/src/view.rs
@@ -112,10 +112,4 @@
         }
         load
     }
-
-    /// Workers, for the operators: id and runs.
-    #[must_use]
-    pub fn loads(&self) -> Vec<(String, usize)> {
-        self.workers.iter().filter(|w| !w.gone).map(|w| (w.info.id.clone(), w.runs.len())).collect()
-    }
 }
