--- a/components/capacity/src/lib.rs
+++ b/components/capacity/src/lib.rs
@@ -36,7 +36,7 @@
     pub calm: Ms,
     /// Milliseconds without waiting tasks after which machines go back to a spare pool.
     pub rest: Ms,
-    /// Machines that each pool keeps.
+    /// Part of the mean size of all pools, in percent, that each pool keeps.
     pub keep: usize,
     /// Part of its room, in percent, that a calm pool keeps free of use when it gives machines away.
     pub reserve: u64,
@@ -143,6 +143,13 @@
         spare: &BTreeSet<String>,
         busy: &BTreeSet<String>,
     ) -> Vec<&'a Machine> {
+        let pools: BTreeSet<&str> = machines
+            .iter()
+            .map(|m| m.pool.as_str())
+            .chain(spare.iter().map(String::as_str))
+            .chain(loads.iter().map(|l| l.name.as_str()))
+            .collect();
+        let keep = (machines.len() * self.limits.keep).div_ceil(100 * pools.len().max(1));
         let mut left: BTreeMap<&str, (usize, u64)> = BTreeMap::new();
         for load in loads {
             let count =
@@ -160,7 +167,7 @@
             let Some((count, room)) = left.get_mut(load.name.as_str()) else { continue };
             let rest = room.saturating_sub(machine.cpu);
             let roomy = rest * (100 - self.limits.reserve) >= load.used * 100;
-            if calm && roomy && *count > self.limits.keep && load.idle.contains(&machine.worker) {
+            if calm && roomy && *count > keep && load.idle.contains(&machine.worker) {
                 *count -= 1;
                 *room = rest;
                 free.push(machine);
--- a/components/capacity/tests/moves.rs
+++ b/components/capacity/tests/moves.rs
@@ -7,7 +7,7 @@
 use upkeep::{Machine, MachineState};
 
 const CPU: u64 = 16_000;
-const LIMITS: Limits = Limits { move_time: 1_500, calm: 1_000, rest: 2_500, keep: 2, reserve: 50 };
+const LIMITS: Limits = Limits { move_time: 1_500, calm: 1_000, rest: 2_500, keep: 60, reserve: 50 };
 
 fn machine(n: usize, pool: &str) -> Machine {
     Machine {
--- a/components/relay/src/duty.rs
+++ b/components/relay/src/duty.rs
@@ -20,8 +20,9 @@
 const EVERY: Duration = Duration::from_millis(120);
 /// Milliseconds without waiting tasks after which a pool can give machines to others.
 const CALM: u64 = 500;
-/// Machines that each pool keeps, so that lasting tasks can be spread and moved.
-const KEEP: usize = 6;
+/// Part of the mean size of all pools, in percent, that each pool keeps: room for lasting tasks, for a first rush,
+/// and for a duty that changes hands while a queue's turn begins.
+const KEEP: usize = 60;
 /// Part of its room, in percent, that a pool keeps free when it gives machines away.
 const RESERVE: u64 = 50;
 /// Key of the record of recent orders.
--- a/components/relay/src/owner.rs
+++ b/components/relay/src/owner.rs
@@ -21,6 +21,8 @@
 const TICK: Duration = Duration::from_millis(50);
 /// Inputs that arrive within this time are taken in one step.
 const GATHER: Duration = Duration::from_millis(3);
+/// The same while so many steps wait that each pass costs more.
+const GATHER_CROWDED: Duration = Duration::from_millis(12);
 /// Pause before an append is sent again.
 const APPEND_AGAIN: Duration = Duration::from_millis(100);
 /// Tries of an append whose outcome is certain each time, before new jobs of the batch are refused.
@@ -193,7 +195,7 @@
                 _ = self.around.wishes.changed() => self.learn_wishes(),
                 _ = self.around.roster.changed() => self.learn_roster(),
             }
-            let due = last + GATHER;
+            let due = last + if self.shard.crowded() { GATHER_CROWDED } else { GATHER };
             if Instant::now() < due {
                 tokio::time::sleep_until(due).await;
             }
--- a/components/shard/src/machine.rs
+++ b/components/shard/src/machine.rs
@@ -10,6 +10,9 @@
 use crate::record::Record;
 use crate::worker::{Contact, Worker, WorkerKey};
 
+/// Waiting steps above which a shard is crowded; far more than start in one pass.
+const CROWD: usize = 48;
+
 /// State of one shard under one owner.
 #[derive(Debug)]
 pub struct Shard {
@@ -84,6 +87,12 @@
         self.short
     }
 
+    /// So many steps wait that a few milliseconds more do not matter to any, while each pass costs more.
+    #[must_use]
+    pub fn crowded(&self) -> bool {
+        self.ready.len() > CROWD
+    }
+
     /// Owner's epoch, the fencing token of its orders.
     #[must_use]
     pub const fn epoch(&self) -> u64 {
--- a/components/shard/src/place.rs
+++ b/components/shard/src/place.rs
@@ -191,8 +191,7 @@
         if !spec.label.is_empty() && !worker.info.labels.contains(&spec.label) {
             return false;
         }
-        let same = worker.runs.keys().filter(|t| t.at == *at).count();
-        spec.spread == 0 || same < spec.spread as usize
+        spec.spread == 0 || worker.runs.keys().filter(|t| t.at == *at).count() < spec.spread as usize
     }
 
     /// A worker that failed lately gets one task at a time until one is done.
