--- a/components/shard/src/machine.rs
+++ b/components/shard/src/machine.rs
@@ -10,8 +10,8 @@
 use crate::record::Record;
 use crate::worker::{Contact, Worker, WorkerKey};
 
-/// Waiting steps above which a shard is crowded; far more than start in one pass.
-const CROWD: usize = 48;
+/// Waiting steps above which a shard is crowded; more than the pools of today have tasks running.
+const CROWD: usize = 256;
 
 /// State of one shard under one owner.
 #[derive(Debug)]
