A daemon also knows those that have asked it

Ruled out: the merge of documents (the test passed wherever another owner was known). Change: every question over the mesh carries its sender's address. The test first waits until another daemon is known: one that has heard of nobody can learn nothing.

--- a/components/relay/src/mesh.rs
+++ b/components/relay/src/mesh.rs
@@ -15,7 +15,7 @@
 use tokio::time::timeout;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use crate::reply::{Ask, Kind, Reply, Want};
+use crate::reply::{Ask, Reply, Want};
 
 /// Largest frame in bytes; a job's text and steps stay far below.
 const MAX_FRAME: usize = 1024 * 1024;
@@ -36,8 +36,9 @@
 }
 
 /// Connections to other daemons.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Mesh {
+    own: SocketAddr,
     peers: Mutex<HashMap<SocketAddr, Peer>>,
     next: AtomicU64,
 }
@@ -49,6 +50,12 @@
 }
 
 impl Mesh {
+    /// A mesh without connections; `own` is the address at which others reach this daemon.
+    #[must_use]
+    pub fn new(own: SocketAddr) -> Self {
+        Self { own, peers: Mutex::default(), next: AtomicU64::default() }
+    }
+
     /// Asks a peer.
     ///
     /// # Errors
@@ -64,7 +71,7 @@
         let id = self.next.fetch_add(1, Ordering::Relaxed);
         let (tx, rx) = oneshot::channel();
         peer.waiters.lock().insert(id, tx);
-        if peer.asks.try_send(Ask { id, part, want: Some(want) }).is_err() {
+        if peer.asks.try_send(Ask { id, part, from: self.own.to_string(), want: Some(want) }).is_err() {
             peer.waiters.lock().remove(&id);
             self.drop_peer(addr);
             return Err(MeshFault::NotSent);
@@ -123,7 +130,7 @@
 /// Answers requests of other daemons until the listener fails.
 pub async fn serve<F, A>(listener: TcpListener, answer: F)
 where
-    F: Fn(u32, Want) -> A + Clone + Send + Sync + 'static,
+    F: Fn(Ask) -> A + Clone + Send + Sync + 'static,
     A: Future<Output = Reply> + Send + 'static,
 {
     loop {
@@ -143,7 +150,7 @@
 
 async fn serve_peer<F, A>(stream: TcpStream, answer: F)
 where
-    F: Fn(u32, Want) -> A + Clone + Send + Sync + 'static,
+    F: Fn(Ask) -> A + Clone + Send + Sync + 'static,
     A: Future<Output = Reply> + Send + 'static,
 {
     let (mut sink, mut frames) = Framed::new(stream, codec()).split();
@@ -159,12 +166,10 @@
         let Ok(ask) = Ask::decode(frame) else { break };
         let (answer, replies) = (answer.clone(), replies.clone());
         tokio::spawn(async move {
-            let reply = match ask.want {
-                Some(want) => answer(ask.part, want).await,
-                None => Reply::of(Kind::Unset),
-            };
+            let id = ask.id;
+            let reply = answer(ask).await;
             // The peer may have gone.
-            let _ = replies.send(Reply { id: ask.id, ..reply }).await;
+            let _ = replies.send(Reply { id, ..reply }).await;
         });
     }
     writer.abort();
--- a/components/relay/src/node.rs
+++ b/components/relay/src/node.rs
@@ -1,6 +1,6 @@
 //! One daemon: its parts, and what callers may ask of it.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -19,7 +19,7 @@
 use crate::member::{self, Standing};
 use crate::mesh::{self, Mesh, MeshFault};
 use crate::owner::{Owner, Surroundings};
-use crate::reply::{Kind, LoadRow, Reply, RightsReport, Want};
+use crate::reply::{Ask, Kind, LoadRow, Reply, RightsReport, Want};
 use crate::roster::{self, Roster};
 use crate::setup::Setup;
 use crate::watch::{self as documents, Wishes};
@@ -35,6 +35,8 @@
 const HEAR_EVERY: Duration = Duration::from_millis(200);
 /// Time in which another daemon answers such a question.
 const HEAR_ANSWER: Duration = Duration::from_millis(200);
+/// Most daemons that are remembered; replaced ones stay until the process ends.
+const MOST_KNOWN: usize = 1_024;
 /// Time for one try at another daemon, within a caller's time.
 const ONE_TRY: Duration = Duration::from_millis(700);
 
@@ -86,6 +88,8 @@
 pub struct Node {
     parts: Parts,
     mesh: Mesh,
+    /// Daemons that have asked this one.
+    known: Mutex<BTreeSet<SocketAddr>>,
     owners: Mutex<HashMap<u32, SocketAddr>>,
     owned: Mutex<HashMap<u32, Owner>>,
     stale: Notify,
@@ -112,9 +116,11 @@
         tokio::spawn(member::run(Arc::clone(&parts.store), parts.mesh.to_string(), standing_tx, stop));
         tokio::spawn(documents::run(Arc::clone(&parts.store), Arc::clone(&wishes_tx)));
         tokio::spawn(roster::run(Arc::clone(&parts.store), roster_tx));
+        let own_address = parts.mesh;
         let node = Arc::new(Self {
             parts,
-            mesh: Mesh::default(),
+            mesh: Mesh::new(own_address),
+            known: Mutex::default(),
             owners: Mutex::default(),
             owned: Mutex::default(),
             stale: Notify::new(),
@@ -132,9 +138,9 @@
         tokio::spawn(Arc::clone(&node).keep_owners());
         tokio::spawn(Arc::clone(&node).hear_documents(wishes_tx));
         let own = Arc::clone(&node);
-        tokio::spawn(mesh::serve(listener, move |part, want| {
+        tokio::spawn(mesh::serve(listener, move |ask| {
             let own = Arc::clone(&own);
-            async move { own.ask_here(part, want).await }
+            async move { own.asked(ask).await }
         }));
         node
     }
@@ -223,6 +229,19 @@
         self.mesh.ask(addr, part, want, left.min(ONE_TRY)).await
     }
 
+    async fn asked(&self, ask: Ask) -> Reply {
+        if let Ok(peer) = ask.from.parse() {
+            let mut known = self.known.lock();
+            if known.len() < MOST_KNOWN {
+                known.insert(peer);
+            }
+        }
+        match ask.want {
+            Some(want) => self.ask_here(ask.part, want).await,
+            None => Reply::of(Kind::Unset),
+        }
+    }
+
     async fn ask_here(&self, part: u32, want: Want) -> Reply {
         let want = match want {
             Want::Rights(report) => return self.divide(part, report),
@@ -310,6 +329,15 @@
         self.setup()?.parts(self.parts.parts - 1).get(service).copied()
     }
 
+    /// Other daemons that this one knows: owners of shards, and those that have asked it.
+    #[must_use]
+    pub fn peers(&self) -> Vec<SocketAddr> {
+        let mut peers = self.known.lock().clone();
+        peers.extend(self.owners.lock().values());
+        peers.remove(&self.parts.mesh);
+        peers.into_iter().collect()
+    }
+
     /// Operators' documents for a daemon that the store turns away.
     fn documents(&self, place: u64) -> Reply {
         let wishes = self.wishes.borrow();
@@ -337,10 +365,7 @@
             if !stale {
                 continue;
             }
-            let mut peers: Vec<SocketAddr> = self.owners.lock().values().copied().collect();
-            peers.retain(|p| *p != self.parts.mesh);
-            peers.sort_unstable();
-            peers.dedup();
+            let peers = self.peers();
             let Some(peer) = peers.get(turn % peers.len().max(1)) else { continue };
             turn += 1;
             let Ok(reply) = self.mesh.ask(*peer, 0, Want::Documents(place), HEAR_ANSWER).await else {
--- a/components/relay/src/reply.rs
+++ b/components/relay/src/reply.rs
@@ -11,6 +11,9 @@
     /// Shard.
     #[prost(uint32, tag = "2")]
     pub part: u32,
+    /// Mesh address of the daemon that asks.
+    #[prost(string, tag = "12")]
+    pub from: String,
     /// What is asked.
     #[prost(oneof = "Want", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub want: Option<Want>,
--- a/components/relay/tests/daemons.rs
+++ b/components/relay/tests/daemons.rs
@@ -453,6 +453,7 @@
         submitted(&daemon.node, 1).await;
     }
     let lost = &daemons[0];
+    until("another daemon known", || async { !lost.node.peers().is_empty() }).await;
     {
         let mut state = platform.state.lock();
         state.turned_away.insert(lost.member.clone());
