--- a/components/shard/tests/fleet/jobs.rs
+++ b/components/shard/tests/fleet/jobs.rs
@@ -247,3 +247,28 @@
     expect_that!(fleet.state("queued"), none());
     expect_that!(fleet.orders.len(), eq(1));
 }
+
+#[gtest]
+fn workers_in_a_zone_that_is_out_give_no_room_and_are_not_idle() {
+    let mut fleet = Fleet::new(2, 4_000);
+    fleet.infos[0].zone = "z2".into();
+    fleet.tell_roster();
+    fleet.run(100);
+    let load = fleet.shard.load_of("quotes");
+    expect_that!((load.room, load.idle.len()), eq((8_000, 2)));
+    fleet.input(Input::ZonesOut(vec!["z2".into()]));
+    let load = fleet.shard.load_of("quotes");
+    expect_that!(load.room, eq(4_000));
+    expect_that!(load.idle, eq(&vec!["w1".to_owned()]));
+}
+
+#[gtest]
+fn only_jobs_that_can_be_in_time_are_wanted() {
+    let mut fleet = Fleet::new(1, 1_000);
+    fleet.work = 60_000;
+    fleet.submit(job("a", vec![step(3, 1_000)]));
+    fleet.run(200);
+    expect_that!(fleet.shard.load_of("quotes").wanted, eq(2_000));
+    fleet.run(9_000);
+    expect_that!(fleet.shard.load_of("quotes").wanted, eq(0));
+}
