Drop what lost its reader, and one piece for what stood twice

Found by reading the whole change again: a flag that nothing reads, a first stage that was always the same since runs are recorded, two conditions on the same thing in a row, larger and smaller amounts written twice, the spare pools and the last partition worked out in four places, a filter without effect. Lines about a run that is gone or stands still name the task as workers do, so that a job's id finds them. Behaviour stays; the tests are unchanged.

--- a/components/relay/src/duty.rs
+++ b/components/relay/src/duty.rs
@@ -119,8 +119,7 @@
         setup: &Setup,
         loads: &[PoolLoad],
     ) {
-        let spare: BTreeSet<String> =
-            setup.pools.iter().filter(|p| p.spare).map(|p| p.name.clone()).collect();
+        let spare = setup.spares();
         let zones_out = self.node.wishes().zones_out;
         let out = list.iter().filter(|m| zones_out.contains(&m.zone)).map(|m| &m.name);
         let busy = waves.open.values().flat_map(Wave::active).chain(out).cloned().collect();
@@ -246,11 +245,11 @@
 
     /// Runs left on the machines that are being emptied.
     async fn left(&self, wave: &Wave, list: &[Machine], setup: &Setup) -> BTreeMap<String, usize> {
+        let spare = setup.spares();
         let mut left = BTreeMap::new();
         for name in wave.emptying() {
             let Some(machine) = list.iter().find(|m| &m.name == name) else { continue };
-            let spare = setup.pools.iter().any(|p| p.name == machine.pool && p.spare);
-            if spare {
+            if spare.contains(&machine.pool) {
                 left.insert(name.clone(), 0);
             } else if let Some(count) = self.node.empty(&machine.pool, &machine.worker, ASK).await {
                 left.insert(name.clone(), count);
@@ -329,10 +328,10 @@
 
 /// Machines on which nothing runs, in pools where nothing waits.
 fn idle(list: &[Machine], setup: &Setup, loads: &[PoolLoad]) -> BTreeSet<String> {
-    let spare = |m: &Machine| setup.pools.iter().any(|p| p.name == m.pool && p.spare);
+    let spare = setup.spares();
     let idle =
         |m: &Machine| loads.iter().any(|l| l.name == m.pool && l.wanted == 0 && l.idle.contains(&m.worker));
-    list.iter().filter(|m| spare(m) || idle(m)).map(|m| m.name.clone()).collect()
+    list.iter().filter(|m| spare.contains(&m.pool) || idle(m)).map(|m| m.name.clone()).collect()
 }
 
 /// A machine as the planners may see it: one that is held does not look up.
--- a/components/relay/src/node.rs
+++ b/components/relay/src/node.rs
@@ -277,7 +277,7 @@
 
     /// Reports what a shard holds of the customers' limits, and gives its new parts.
     pub(crate) async fn report_rights(&self, report: RightsReport, within: Duration) -> Option<Reply> {
-        let part = self.parts.parts - 1;
+        let part = self.duty_part();
         let reply = self.ask_once(part, Want::Rights(report), within).await.ok();
         let reply = reply.filter(|r| r.kind() == Kind::Rights);
         if reply.is_none() {
@@ -297,7 +297,7 @@
         if slot.0 != epoch {
             *slot = (epoch, Broker::default());
         }
-        let shards = setup.parts(self.parts.parts - 1).into_values().collect();
+        let shards = setup.parts(self.duty_part()).into_values().collect();
         slot.1.configure(setup.limits(), shards);
         slot.1.report(&report.into()).map_or(Reply::of(Kind::NotOwner), Reply::rights)
     }
@@ -325,8 +325,13 @@
         (reply.kind() == Kind::Count).then(|| usize::try_from(reply.value).unwrap_or(usize::MAX))
     }
 
+    /// The last partition carries the duty; the shards are those before it.
+    const fn duty_part(&self) -> u32 {
+        self.parts.parts.saturating_sub(1)
+    }
+
     fn part(&self, service: &str) -> Option<u32> {
-        self.setup()?.parts(self.parts.parts - 1).get(service).copied()
+        self.setup()?.parts(self.duty_part()).get(service).copied()
     }
 
     /// Other daemons that this one knows: owners of shards, and those that have asked it.
@@ -401,7 +406,7 @@
             return;
         }
         let Some(setup) = self.setup() else { return };
-        let active: Vec<u32> = setup.parts(self.parts.parts - 1).into_values().collect();
+        let active: Vec<u32> = setup.parts(self.duty_part()).into_values().collect();
         let mut owned = self.owned.lock();
         owned.retain(|_, owner| !owner.ended());
         if !standing.sure() {
@@ -421,7 +426,7 @@
 
     /// Takes or leaves the duty of maintenance.
     fn adjust_duty(self: &Arc<Self>, standing: &Standing) {
-        let part = self.parts.parts.saturating_sub(1);
+        let part = self.duty_part();
         let ours = standing.share.parts.contains(&part);
         let running = self.duty.lock().as_ref().is_some_and(|(_, task)| !task.is_finished());
         if !ours {
@@ -456,7 +461,7 @@
             store: Arc::clone(&self.parts.store),
             orders: Arc::clone(&self.parts.orders),
             limits: self.parts.limits,
-            parts: self.parts.parts - 1,
+            parts: self.duty_part(),
             standing: self.standing.clone(),
             roster: self.roster.clone(),
             wishes: self.wishes.clone(),
--- a/components/relay/src/setup.rs
+++ b/components/relay/src/setup.rs
@@ -1,6 +1,6 @@
 //! Configuration as operators publish it, in the product's terms.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::hash::{Hash, Hasher};
 
 use serde::{Deserialize, Serialize};
@@ -101,6 +101,12 @@
         self.customers.iter().find(|c| c.keys.iter().any(|k| k == key))
     }
 
+    /// Pools whose machines are off.
+    #[must_use]
+    pub fn spares(&self) -> BTreeSet<String> {
+        self.pools.iter().filter(|p| p.spare).map(|p| p.name.clone()).collect()
+    }
+
     /// Each customer's limit.
     #[must_use]
     pub fn limits(&self) -> BTreeMap<String, Res> {
--- a/components/relay/src/watch.rs
+++ b/components/relay/src/watch.rs
@@ -74,7 +74,7 @@
                 for (key, document) in changes.items {
                     match document {
                         Some(document) => keys.insert(key, document),
-                        None => keys.remove(&key).filter(|d| !matches!(d, Document::Setup(_))),
+                        None => keys.remove(&key),
                     };
                 }
                 let place = changes.next;
--- a/components/rights/src/broker.rs
+++ b/components/rights/src/broker.rs
@@ -55,7 +55,7 @@
         let holds = self.fair_part(part, customer);
         if let Some(entry) = self.held.get_mut(customer).and_then(|s| s.get_mut(&part)) {
             // What is taken back counts as held until the holder says that it is given up.
-            entry.holds = most(&entry.holds, &holds);
+            entry.holds = entry.holds.most(&holds);
         }
         Grant { customer: customer.to_owned(), holds }
     }
@@ -88,7 +88,3 @@
     }
     u64::try_from(u128::from(amount) * u128::from(own) / u128::from(all)).unwrap_or(u64::MAX)
 }
-
-fn most(a: &Res, b: &Res) -> Res {
-    Res { cpu: a.cpu.max(b.cpu), mem: a.mem.max(b.mem), gpu: a.gpu.max(b.gpu) }
-}
--- a/components/rights/src/holder.rs
+++ b/components/rights/src/holder.rs
@@ -55,7 +55,7 @@
             let ahead = if idle { Res::default() } else { ahead(limit) };
             let need = usage.used + usage.wanted + ahead;
             let holds = self.holds.entry(customer.clone()).or_default();
-            *holds = most(&least(holds, &need), &usage.used);
+            *holds = holds.least(&need).most(&usage.used);
             let wants = need.less(holds);
             if *holds != Res::default() || wants != Res::default() {
                 claims.push(Claim { customer: customer.clone(), holds: *holds, wants });
@@ -93,11 +93,3 @@
     }
     u64::try_from(u128::from(holds) * u128::from(new) / u128::from(old.max(1))).unwrap_or(holds)
 }
-
-fn least(a: &Res, b: &Res) -> Res {
-    Res { cpu: a.cpu.min(b.cpu), mem: a.mem.min(b.mem), gpu: a.gpu.min(b.gpu) }
-}
-
-fn most(a: &Res, b: &Res) -> Res {
-    Res { cpu: a.cpu.max(b.cpu), mem: a.mem.max(b.mem), gpu: a.gpu.max(b.gpu) }
-}
--- a/components/shard/src/cancel.rs
+++ b/components/shard/src/cancel.rs
@@ -73,11 +73,11 @@
                 self.actions.push(Action::Stop {
                     worker: worker.info.id.clone(),
                     addr: worker.info.addr.clone(),
-                    name: name.clone(),
+                    name,
                     run,
                     why: StopCause::Stranger,
                 });
-                // Kept until a look does not list it any more.
+                // The next look lists it again if it is still there.
                 worker.rest_until = worker.rest_until.max(self.now + self.limits.stop_again);
             }
         }
--- a/components/shard/src/health.rs
+++ b/components/shard/src/health.rs
@@ -59,7 +59,7 @@
     /// Stops runs that stand still, to start them elsewhere.
     pub(crate) fn spot_stalls(&mut self, key: WorkerKey) {
         let now = self.now;
-        let worker = &mut self.workers[key as usize];
+        let worker = &self.workers[key as usize];
         let stalled: Vec<TaskRef> = worker
             .runs
             .iter()
@@ -68,9 +68,11 @@
             .map(|(t, _)| *t)
             .collect();
         for task in &stalled {
+            let name = self.run_name(task).map(|n| n.to_string());
+            let worker = &mut self.workers[key as usize];
             if let Some(run) = worker.runs.get_mut(task) {
                 run.stop(StopCause::Stalled);
-                tracing::info!(worker = %worker.info.id, ?task, percent = run.percent, "shard: run stands still");
+                tracing::info!(worker = %worker.info.id, task = name, percent = run.percent, "shard: run stands still");
             }
         }
         if !stalled.is_empty() {
--- a/components/shard/src/intake.rs
+++ b/components/shard/src/intake.rs
@@ -1,7 +1,7 @@
 //! Acceptance of jobs, their occurrences, and the list of workers.
 
 use crate::io::Action;
-use crate::job::{Job, JobKey, Stage, StepRef, Turn};
+use crate::job::{Job, JobKey, StepRef, Turn};
 use crate::machine::Shard;
 use crate::model::{JobSpec, Verdict};
 use crate::record;
@@ -53,7 +53,7 @@
         if new {
             tracing::info!(job = %job.spec.id, queue = %job.spec.queue, tenant = %job.spec.tenant, "shard: job accepted");
             if job.verdict == Verdict::Open {
-                self.open_job(key, Stage::Waiting);
+                self.open_job(key);
             } else {
                 self.dirty.insert(key);
             }
@@ -71,20 +71,20 @@
     }
 
     /// Opens the first occurrence of a job without times.
-    pub(crate) fn open_job(&mut self, key: JobKey, first: Stage) {
+    pub(crate) fn open_job(&mut self, key: JobKey) {
         let Some(job) = self.jobs.get(&key) else { return };
         if job.spec.repeat.is_none() && job.complete.is_empty() {
-            self.open_turn(key, 0, first);
+            self.open_turn(key, 0);
         }
     }
 
-    pub(crate) fn open_turn(&mut self, key: JobKey, number: u32, first: Stage) {
+    pub(crate) fn open_turn(&mut self, key: JobKey, number: u32) {
         let now = self.now;
         let Some(job) = self.jobs.get_mut(&key) else { return };
         if job.turn(number).is_some() || job.complete.contains(&number) {
             return;
         }
-        let turn = Turn::new(&job.spec, number, now, first);
+        let turn = Turn::new(&job.spec, number, now);
         let steps = u32::try_from(turn.steps.len()).unwrap_or(0);
         let open: Vec<u32> = (0..steps).filter(|&s| turn.released(&job.spec, s)).collect();
         job.turns.push(turn);
@@ -108,7 +108,7 @@
             }
         }
         for (key, number) in due {
-            self.open_turn(key, number, Stage::Waiting);
+            self.open_turn(key, number);
         }
     }
 
--- a/components/shard/src/job.rs
+++ b/components/shard/src/job.rs
@@ -131,8 +131,8 @@
 }
 
 impl Turn {
-    pub fn new(spec: &JobSpec, number: u32, due: Ms, first: Stage) -> Self {
-        let steps = spec.steps.iter().map(|s| Step::new(s.count, first)).collect();
+    pub fn new(spec: &JobSpec, number: u32, due: Ms) -> Self {
+        let steps = spec.steps.iter().map(|s| Step::new(s.count)).collect();
         Self { number, steps, due }
     }
 
@@ -153,9 +153,9 @@
 }
 
 impl Step {
-    fn new(count: u32, first: Stage) -> Self {
+    fn new(count: u32) -> Self {
         let task = || Task {
-            stage: first,
+            stage: Stage::Waiting,
             run: 0,
             failures: 0,
             failed_run: 0,
@@ -163,8 +163,7 @@
             avoid: Vec::new(),
             not_before: 0,
         };
-        let waiting = if first == Stage::Waiting { count } else { 0 };
-        Self { tasks: (0..count).map(|_| task()).collect(), done: 0, waiting }
+        Self { tasks: (0..count).map(|_| task()).collect(), done: 0, waiting: count }
     }
 
     pub fn complete(&self) -> bool {
--- a/components/shard/src/load.rs
+++ b/components/shard/src/load.rs
@@ -101,9 +101,9 @@
         if verdict != Verdict::Open {
             return;
         }
-        self.open_job(key, Stage::Waiting);
+        self.open_job(key);
         for turn in progress.turns.iter().filter(|t| !t.complete) {
-            self.open_turn(key, turn.turn, Stage::Waiting);
+            self.open_turn(key, turn.turn);
             let Some(open) = self.jobs.get_mut(&key).and_then(|j| j.turn_mut(turn.turn)) else { continue };
             for (step, stored) in open.steps.iter_mut().zip(&turn.steps) {
                 step.restore(stored);
--- a/components/shard/src/machine.rs
+++ b/components/shard/src/machine.rs
@@ -41,8 +41,6 @@
     pub(crate) outbox: Vec<Record>,
     pub(crate) flight: Option<Flight>,
     pub(crate) actions: Vec<Action>,
-    /// Earliest time at which something is due without an input.
-    pub(crate) schedule: bool,
     pub(crate) fenced: bool,
     /// A task could start but for its customer's limit.
     pub(crate) short: bool,
@@ -74,7 +72,6 @@
             outbox: Vec::new(),
             flight: None,
             actions: Vec::new(),
-            schedule: true,
             fenced: false,
             short: false,
             typical: HashMap::new(),
@@ -117,7 +114,6 @@
             Input::NotStored => self.not_stored(),
             Input::Cordon { worker, on } => self.cordon(&worker, on),
         }
-        self.schedule = true;
     }
 
     /// Does what is due and returns what to do next. `may_start` is false while the ownership is not sure.
@@ -135,8 +131,6 @@
             self.send_starts();
             self.move_away();
             self.place_all();
-        }
-        if may_start {
             self.send_stops();
         }
         self.refuse_unsent();
--- a/components/shard/src/model.rs
+++ b/components/shard/src/model.rs
@@ -21,6 +21,18 @@
         self.cpu <= room.cpu && self.mem <= room.mem && self.gpu <= room.gpu
     }
 
+    /// The larger amount of each kind.
+    #[must_use]
+    pub fn most(&self, other: &Self) -> Self {
+        Self { cpu: self.cpu.max(other.cpu), mem: self.mem.max(other.mem), gpu: self.gpu.max(other.gpu) }
+    }
+
+    /// The smaller amount of each kind.
+    #[must_use]
+    pub fn least(&self, other: &Self) -> Self {
+        Self { cpu: self.cpu.min(other.cpu), mem: self.mem.min(other.mem), gpu: self.gpu.min(other.gpu) }
+    }
+
     /// What is left of `self` after `other` is taken, at least nothing.
     #[must_use]
     pub const fn less(&self, other: &Self) -> Self {
--- a/components/shard/src/report.rs
+++ b/components/shard/src/report.rs
@@ -126,7 +126,8 @@
             }
         }
         for task in gone {
-            tracing::info!(worker = %self.workers[key as usize].info.id, ?task, "shard: run is gone without an end");
+            let name = self.run_name(&task).map(|n| n.to_string());
+            tracing::info!(worker = %self.workers[key as usize].info.id, task = name, "shard: run is gone without an end");
             self.release(key, &task);
             self.requeue(task, now);
         }
