Daemons on small hosts stand by, and large reads are bounded by silence

Cause: on the grown sites the group dealt shards to any host. Ruled out: locks or retries of the take-over; the other shards loaded in 12 to 610 ms. Reads of the store are bounded by silence. Partitions in use are kept apart, since the store deals neighbours to one member; their table is worked out once a version. The shape of the owners' list is now known, so the guesses are gone.

--- a/components/edge/src/http_client.rs
+++ b/components/edge/src/http_client.rs
@@ -7,7 +7,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy::Client;
@@ -36,21 +36,35 @@
     pub headers: HeaderMap,
     /// Request body.
     pub body: Bytes,
-    /// Longest time until the whole answer is read.
+    /// Longest time until the whole answer is read, or between two pieces of it.
     pub timeout: Duration,
+    /// What the time bounds.
+    pub bound: Bound,
+}
+
+/// What the time of a call bounds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Bound {
+    /// The whole call.
+    #[default]
+    Whole,
+    /// Each silence: a large answer may take long on a slow link.
+    Silence,
 }
 
 impl<'a> Fetch<'a> {
     /// A call without headers or body.
     #[must_use]
     pub fn get(addr: &'a str, path: &'a str, timeout: Duration) -> Self {
-        Self { method: Method::GET, addr, path, headers: HeaderMap::new(), body: Bytes::new(), timeout }
+        let (headers, body) = (HeaderMap::new(), Bytes::new());
+        Self { method: Method::GET, addr, path, headers, body, timeout, bound: Bound::Whole }
     }
 
     /// A call with a body.
     #[must_use]
     pub fn post(addr: &'a str, path: &'a str, body: Bytes, timeout: Duration) -> Self {
-        Self { method: Method::POST, addr, path, headers: HeaderMap::new(), body, timeout }
+        let headers = HeaderMap::new();
+        Self { method: Method::POST, addr, path, headers, body, timeout, bound: Bound::Whole }
     }
 }
 
@@ -100,20 +114,20 @@
     pub async fn fetch(&self, call: Fetch<'_>) -> Result<Fetched, Fault> {
         let pool = self.pool(call.addr);
         let request = build(&call)?;
-        let whole = async {
-            let response = pool.request(request).await.map_err(|e| classify(&e))?;
-            let (parts, body) = response.into_parts();
-            let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-            let body = body.map_err(|e| Fault::may_have_run(format!("answer broke off: {e}")))?;
-            Ok(Fetched { status: parts.status, headers: parts.headers, body: body.to_bytes() })
+        let fetched = match call.bound {
+            Bound::Whole => match tokio::time::timeout(call.timeout, read(&pool, request, None)).await {
+                Ok(done) => done,
+                Err(_) => Err(Broken::Silent),
+            },
+            Bound::Silence => read(&pool, request, Some(call.timeout)).await,
         };
-        match tokio::time::timeout(call.timeout, whole).await {
-            Ok(done) => done,
-            Err(_) => {
+        fetched.map_err(|broken| match broken {
+            Broken::Fault(fault) => fault,
+            Broken::Silent => {
                 self.forget(call.addr);
-                Err(Fault::may_have_run(format!("no answer from {} in {:?}", call.addr, call.timeout)))
+                Fault::may_have_run(format!("no answer from {} in {:?}", call.addr, call.timeout))
             }
-        }
+        })
     }
 
     /// Drops the idle connections to a target.
@@ -136,6 +150,39 @@
     }
 }
 
+/// Why an answer was not read.
+enum Broken {
+    Fault(Fault),
+    Silent,
+}
+
+/// Reads a whole answer; `silence` bounds the wait for its head and for each piece of its body.
+async fn read(
+    pool: &Pool,
+    request: Request<Full<Bytes>>,
+    silence: Option<Duration>,
+) -> Result<Fetched, Broken> {
+    let response = within(silence, pool.request(request)).await?;
+    let response = response.map_err(|e| Broken::Fault(classify(&e)))?;
+    let (parts, body) = response.into_parts();
+    let mut body = Limited::new(body, MAX_ANSWER_BYTES);
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = within(silence, body.frame()).await? {
+        let broke_off = |e| Broken::Fault(Fault::may_have_run(format!("answer broke off: {e}")));
+        if let Ok(data) = frame.map_err(broke_off)?.into_data() {
+            bytes.extend_from_slice(&data);
+        }
+    }
+    Ok(Fetched { status: parts.status, headers: parts.headers, body: bytes.freeze() })
+}
+
+async fn within<T>(silence: Option<Duration>, future: impl Future<Output = T>) -> Result<T, Broken> {
+    match silence {
+        Some(time) => tokio::time::timeout(time, future).await.map_err(|_| Broken::Silent),
+        None => Ok(future.await),
+    }
+}
+
 fn new_pool(idle: usize) -> Pool {
     let mut connector = HttpConnector::new();
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
--- a/components/relay/src/edge.rs
+++ b/components/relay/src/edge.rs
@@ -4,6 +4,7 @@
 use shard::{Record, Report, StartOrder, StartReply, WorkerInfo};
 
 use crate::setup::Setup;
+use crate::standby::Role;
 
 /// Member's share of the partitions.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -44,13 +45,13 @@
 /// The platform's store.
 pub trait Store: Send + Sync + std::fmt::Debug {
     /// Joins the group of daemons, or stays in it.
-    fn join<'a>(&'a self, member: &'a str, generation: u64) -> Call<'a, Share>;
+    fn join<'a>(&'a self, member: &'a str, generation: u64, role: Role) -> Call<'a, Share>;
 
     /// Leaves the group.
     fn leave<'a>(&'a self, member: &'a str) -> Call<'a, ()>;
 
-    /// Owner of each partition.
-    fn owners(&self) -> Call<'_, Vec<(u32, String)>>;
+    /// Partitions with the member that owns each; `None` if nobody does.
+    fn owners(&self) -> Call<'_, Vec<(u32, Option<String>)>>;
 
     /// Appends records to a shard's partition, all or none.
     fn append<'a>(
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -15,9 +15,11 @@
 mod reply;
 mod roster;
 mod setup;
+mod standby;
 mod watch;
 
 pub use clock::{steady_ms, wall_ms};
 pub use member::TTL_MS;
 pub use node::{Node, Outcome, Parts};
 pub use setup::{Customer, NO_LIMIT, Pool, Queue, Setup, Wave};
+pub use standby::{Role, Standby, WAIT_MS};
--- a/components/relay/src/member.rs
+++ b/components/relay/src/member.rs
@@ -7,6 +7,7 @@
 
 use crate::clock::steady_ms;
 use crate::edge::{Share, Store};
+use crate::standby::Role;
 
 /// Time for which a join holds at the store, in milliseconds.
 pub const TTL_MS: u64 = 1_500;
@@ -38,6 +39,7 @@
 pub async fn run(
     store: Arc<dyn Store>,
     member: String,
+    role: watch::Receiver<Role>,
     standing: watch::Sender<Standing>,
     mut stop: watch::Receiver<bool>,
 ) {
@@ -49,7 +51,8 @@
     while !*stop.borrow() {
         let sent = steady_ms();
         let generation = standing.borrow().share.generation;
-        match store.join(&member, generation).await {
+        let asked = *role.borrow();
+        match store.join(&member, generation, asked).await {
             Ok(share) => {
                 if down || share != standing.borrow().share {
                     tracing::info!(generation = share.generation, parts = ?share.parts, "member: share");
--- a/components/relay/src/node.rs
+++ b/components/relay/src/node.rs
@@ -14,6 +14,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
+use crate::clock::steady_ms;
 use crate::duty::Duty;
 use crate::edge::{Machines, Orders, Store};
 use crate::member::{self, Standing};
@@ -22,6 +23,7 @@
 use crate::reply::{Ask, Kind, LoadRow, Reply, RightsReport, Want};
 use crate::roster::{self, Roster};
 use crate::setup::Setup;
+use crate::standby::{self, Role, Standby};
 use crate::watch::{self as documents, Wishes};
 
 /// Pause between two tries to reach a shard's owner.
@@ -64,6 +66,8 @@
     pub move_time: u64,
     /// Partitions of the shards' topic; the last one carries the duty of maintenance.
     pub parts: u32,
+    /// Carries shards whenever it runs; others stand by while such daemons do.
+    pub strong: bool,
 }
 
 /// Answer to a caller.
@@ -97,11 +101,20 @@
     wishes: watch::Receiver<Wishes>,
     roster: watch::Receiver<Roster>,
     stopping: watch::Sender<bool>,
+    role: watch::Sender<Role>,
     draining: AtomicBool,
     last_epoch: Mutex<u64>,
     leave_by: Mutex<Option<Instant>>,
     duty: Mutex<Option<(u64, tokio::task::JoinHandle<()>)>>,
     broker: Mutex<(u64, Broker)>,
+    layout: Mutex<Layout>,
+}
+
+/// Partition of each service in a version of the configuration.
+#[derive(Debug, Default)]
+struct Layout {
+    version: u64,
+    table: HashMap<String, u32>,
 }
 
 impl Node {
@@ -113,7 +126,9 @@
         let wishes_tx = Arc::new(wishes_tx);
         let (roster_tx, roster) = watch::channel(None);
         let (stopping, stop) = watch::channel(false);
-        tokio::spawn(member::run(Arc::clone(&parts.store), parts.mesh.to_string(), standing_tx, stop));
+        let (role, role_rx) = watch::channel(if parts.strong { Role::Owner } else { Role::Standby });
+        let name = standby::name(parts.mesh, parts.strong);
+        tokio::spawn(member::run(Arc::clone(&parts.store), name, role_rx, standing_tx, stop));
         tokio::spawn(documents::run(Arc::clone(&parts.store), Arc::clone(&wishes_tx)));
         tokio::spawn(roster::run(Arc::clone(&parts.store), roster_tx));
         let own_address = parts.mesh;
@@ -128,11 +143,13 @@
             wishes,
             roster,
             stopping,
+            role,
             draining: AtomicBool::new(false),
             last_epoch: Mutex::default(),
             leave_by: Mutex::default(),
             duty: Mutex::default(),
             broker: Mutex::default(),
+            layout: Mutex::default(),
         });
         tokio::spawn(Arc::clone(&node).keep_shards());
         tokio::spawn(Arc::clone(&node).keep_owners());
@@ -331,7 +348,13 @@
     }
 
     fn part(&self, service: &str) -> Option<u32> {
-        self.setup()?.parts(self.duty_part()).get(service).copied()
+        let wishes = self.wishes.borrow();
+        let setup = wishes.setup.as_ref()?;
+        let mut layout = self.layout.lock();
+        if layout.version != setup.version {
+            *layout = Layout { version: setup.version, table: setup.parts(self.duty_part()) };
+        }
+        layout.table.get(service).copied()
     }
 
     /// Other daemons that this one knows: owners of shards, and those that have asked it.
@@ -468,14 +491,17 @@
         }
     }
 
-    /// Keeps the table of owners: read when the group changed, or when an owner could not be reached.
+    /// Keeps the table of owners: read when the group changed, when an owner could not be reached, and while
+    /// this daemon waits for one.
     async fn keep_owners(self: Arc<Self>) {
         let mut standing = self.standing.clone();
+        let mut standby = Standby::default();
         let mut generation = 0;
         loop {
             tokio::select! {
                 changed = standing.changed() => if changed.is_err() { return },
                 () = self.stale.notified() => generation = 0,
+                () = tokio::time::sleep(OWNERS_EVERY), if standby.waits() => generation = 0,
             }
             let newest = standing.borrow_and_update().share.generation;
             if newest == generation {
@@ -483,8 +509,7 @@
             }
             match self.parts.store.owners().await {
                 Ok(rows) => {
-                    let table = rows.into_iter().filter_map(|(p, m)| Some((p, m.parse().ok()?))).collect();
-                    *self.owners.lock() = table;
+                    self.learn_owners(&rows, &mut standby);
                     generation = newest;
                 }
                 Err(error) => tracing::debug!(%error, "node: owners not read"),
@@ -492,6 +517,23 @@
             tokio::time::sleep(OWNERS_EVERY).await;
         }
     }
+
+    fn learn_owners(&self, rows: &[(u32, Option<String>)], standby: &mut Standby) {
+        let known = |member: &Option<String>| member.as_deref().and_then(standby::parse);
+        let owners: Vec<(u32, Option<(SocketAddr, bool)>)> =
+            rows.iter().map(|(p, m)| (*p, known(m))).collect();
+        *self.owners.lock() = owners.iter().filter_map(|(p, owner)| Some((*p, (*owner)?.0))).collect();
+        if self.parts.strong {
+            return;
+        }
+        let strength: Vec<Option<bool>> = owners.iter().map(|(_, owner)| Some((*owner)?.1)).collect();
+        let before = *self.role.borrow();
+        let role = standby.choose(before, &strength, steady_ms());
+        if role != before {
+            tracing::info!(?role, "node: role");
+            self.role.send_replace(role);
+        }
+    }
 }
 
 /// What a caller is told; `None` to try again.
--- a/components/relay/src/setup.rs
+++ b/components/relay/src/setup.rs
@@ -1,6 +1,6 @@
 //! Configuration as operators publish it, in the product's terms.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::hash::{Hash, Hasher};
 
 use serde::{Deserialize, Serialize};
@@ -9,6 +9,9 @@
 /// Amount that stands for no limit: far above any fleet, far below an overflow of sums.
 pub const NO_LIMIT: u64 = 1 << 50;
 
+/// Distance wanted between partitions in use: the platform's 24, dealt to six daemons.
+const PARTS_APART: u32 = 4;
+
 /// A queue: where callers submit jobs.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Queue {
@@ -113,28 +116,35 @@
         self.customers.iter().map(|c| (c.name.clone(), c.limit)).collect()
     }
 
-    /// Partition of each service. A service keeps its partition while the services before it in the
-    /// alphabet stay.
+    /// Partition of each service among `count`; the one after them carries the duty. A service keeps its
+    /// partition while the services before it in the alphabet stay. The store deals neighbours to the same
+    /// member, so partitions in use are kept apart.
     #[must_use]
     pub fn parts(&self, count: u32) -> HashMap<String, u32> {
         let mut names: Vec<&str> = self.pools.iter().map(|p| p.name.as_str()).collect();
         names.extend(self.queues.iter().map(|q| q.service.as_str()));
         names.sort_unstable();
         names.dedup();
-        let mut taken: HashSet<u32> = HashSet::new();
+        let mut taken = vec![count];
         let mut table = HashMap::new();
         for name in names {
-            let mut part = home(name, count);
-            while taken.contains(&part) && taken.len() < count as usize {
-                part = (part + 1) % count;
-            }
-            taken.insert(part);
+            let part = free_part(home(name, count), count, &taken);
+            taken.push(part);
             table.insert(name.to_owned(), part);
         }
         table
     }
 }
 
+/// First partition from `home` on that is far from those taken, or as far as there still is one.
+fn free_part(home: u32, count: u32, taken: &[u32]) -> u32 {
+    let ring = count + 1;
+    let gap = |a: u32, b: u32| a.abs_diff(b).min(ring - a.abs_diff(b));
+    let from_home = || (0..count).map(|step| (home + step) % count);
+    let apart = |least: u32| from_home().find(|p| taken.iter().all(|t| gap(*p, *t) >= least));
+    (1..=PARTS_APART).rev().find_map(apart).unwrap_or(home)
+}
+
 fn home(name: &str, count: u32) -> u32 {
     // The same on every host and build, unlike the map's hasher.
     let mut hasher = Fnv(0xcbf2_9ce4_8422_2325);
--- a/components/relay/tests/daemons.rs
+++ b/components/relay/tests/daemons.rs
@@ -11,7 +11,7 @@
 use relay::edge::{
     Appended, Changes, Document, Items, Look, Looked, Machines, Ordered, Orders, Share, Store,
 };
-use relay::{Customer, Node, Outcome, Parts, Pool, Queue, Setup, steady_ms};
+use relay::{Customer, Node, Outcome, Parts, Pool, Queue, Role, Setup, steady_ms};
 use shard::{EndRow, How, JobSpec, JobState, Limits, Record, Report, Res, RunName, RunRow, StartOrder};
 use shard::{StartReply, StepSpec, WorkerInfo};
 use tokio::net::TcpListener;
@@ -38,7 +38,7 @@
 #[derive(Debug, Default)]
 struct State {
     generation: u64,
-    members: BTreeMap<String, u64>,
+    members: BTreeMap<String, (u64, Role)>,
     partitions: HashMap<u32, BTreeMap<String, Vec<u8>>>,
     epochs: HashMap<u32, (u64, u64)>,
     /// Members that the store turns away.
@@ -72,15 +72,19 @@
 impl State {
     /// Deals the partitions out evenly over the members that live.
     fn share(&self, member: &str) -> Share {
-        let names: Vec<&String> = self.members.keys().collect();
+        let names = self.owners();
         let mine = |p: &u32| names.get(*p as usize % names.len().max(1)).is_some_and(|n| *n == member);
         Share { generation: self.generation, parts: (0..PARTS).filter(mine).collect() }
     }
 
+    fn owners(&self) -> Vec<&String> {
+        self.members.iter().filter(|(_, (_, role))| *role == Role::Owner).map(|(name, _)| name).collect()
+    }
+
     fn expire(&mut self) {
         let now = steady_ms();
         let before = self.members.len();
-        self.members.retain(|_, until| *until > now);
+        self.members.retain(|_, (until, _)| *until > now);
         self.generation += u64::from(self.members.len() != before);
     }
 }
@@ -103,14 +107,13 @@
 }
 
 impl Store for Way {
-    fn join<'a>(&'a self, member: &'a str, _generation: u64) -> Call<'a, Share> {
+    fn join<'a>(&'a self, member: &'a str, _generation: u64, role: Role) -> Call<'a, Share> {
         Box::pin(async move {
             let mut state = self.open()?;
             state.expire();
             let until = steady_ms() + relay::TTL_MS;
-            if state.members.insert(member.to_owned(), until).is_none() {
-                state.generation += 1;
-            }
+            let before = state.members.insert(member.to_owned(), (until, role));
+            state.generation += u64::from(before.is_none_or(|(_, r)| r != role));
             Ok(state.share(member))
         })
     }
@@ -125,14 +128,13 @@
         })
     }
 
-    fn owners(&self) -> Call<'_, Vec<(u32, String)>> {
+    fn owners(&self) -> Call<'_, Vec<(u32, Option<String>)>> {
         Box::pin(async move {
             let mut state = self.open()?;
             state.expire();
-            let names: Vec<String> = state.members.keys().cloned().collect();
-            let rows =
-                names.iter().flat_map(|n| state.share(n).parts.into_iter().map(move |p| (p, n.clone())));
-            Ok(rows.collect())
+            let names = state.owners();
+            let owner = |p: u32| names.get(p as usize % names.len().max(1)).map(|n| (*n).clone());
+            Ok((0..PARTS).map(|p| (p, owner(p))).collect())
         })
     }
 
@@ -340,15 +342,22 @@
     }
     let mut nodes = Vec::new();
     for n in 0..daemons {
-        nodes.push(daemon(&platform, n).await);
+        nodes.push(daemon(&platform, n, true).await);
     }
     (platform, nodes)
 }
 
-async fn daemon(platform: &Arc<Platform>, n: usize) -> Daemon {
+async fn role_taken(platform: &Platform, member: &str, role: Role) {
+    until("a role taken", || async {
+        platform.state.lock().members.get(member).is_some_and(|(_, r)| *r == role)
+    })
+    .await;
+}
+
+async fn daemon(platform: &Arc<Platform>, n: usize, strong: bool) -> Daemon {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let mesh: SocketAddr = listener.local_addr().expect("an address");
-    let member = mesh.to_string();
+    let member = if strong { mesh.to_string() } else { format!("{mesh}/standby") };
     let way = Arc::new(Way { platform: Arc::clone(platform), member: member.clone() });
     let parts = Parts {
         name: format!("e{n}"),
@@ -360,6 +369,7 @@
         duty_lease: 3_000,
         move_time: 1_500,
         parts: PARTS,
+        strong,
     };
     Daemon { node: Node::start(parts, listener), member }
 }
@@ -474,7 +484,7 @@
             state.turned_away.insert(daemon.member.clone());
         }
     }
-    let next = daemon(&platform, 9).await;
+    let next = daemon(&platform, 9, true).await;
     for n in 0..4 {
         completed(&next.node, n).await;
     }
@@ -482,3 +492,20 @@
     let done: HashSet<&String> = state.starts.iter().map(|(name, _)| name).collect();
     assert_that!(done.len(), eq(8));
 }
+
+#[tokio::test]
+async fn a_daemon_on_a_small_host_takes_shards_only_while_no_strong_one_lives() {
+    let (platform, strong) = fleet(1).await;
+    submitted(&strong[0].node, 1).await;
+    let weak = daemon(&platform, 8, false).await;
+    role_taken(&platform, &weak.member, Role::Standby).await;
+    submitted(&weak.node, 2).await;
+    completed(&weak.node, 2).await;
+    platform.state.lock().turned_away.insert(strong[0].member.clone());
+    role_taken(&platform, &weak.member, Role::Owner).await;
+    submitted(&weak.node, 3).await;
+    completed(&weak.node, 3).await;
+    platform.state.lock().turned_away.clear();
+    role_taken(&platform, &weak.member, Role::Standby).await;
+    completed(&strong[0].node, 3).await;
+}
