Orders for machines go side by side, within the platform's rate

Ruled out: the pause between two looks (120 ms) and refusals (3 of 880). Change: workers are emptied and machines ordered side by side, as many as the platform's rate allows, a quarter of a second saved up at most. Waves order within the same rate.

--- a/components/relay/src/duty.rs
+++ b/components/relay/src/duty.rs
@@ -14,6 +14,7 @@
 use crate::edge::{Appended, Machines, Ordered, Store};
 use crate::ledger::{Ledger, Place, Progress};
 use crate::node::Node;
+use crate::pace::Pace;
 use crate::setup::{Setup, Wave as Wish};
 
 /// Pause between two looks at the machines; a move takes a second and more, so this adds little to it.
@@ -49,6 +50,19 @@
     pub lease: u64,
     /// Milliseconds that a machine takes to join another pool.
     pub move_time: u64,
+    /// Orders for machines that the platform takes in a second.
+    pub rate: f64,
+}
+
+/// What became of a move.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Moved {
+    /// Ordered; the answer may be lost.
+    Sent,
+    /// Never possible.
+    Barred,
+    /// Not ordered.
+    Kept,
 }
 
 /// Waves by number, and what is stored of each.
@@ -66,6 +80,7 @@
         let Some((mut waves, mut ledger)) = self.load().await else { return };
         let earlier = ledger.orders.clone();
         let mut planner = Planner::new(self.limits());
+        let mut pace = Pace::new(self.rate, steady_ms());
         tracing::info!(epoch = self.epoch, "duty: taken");
         while self.node.holds(self.part, self.epoch) {
             let wishes = self.node.wishes();
@@ -79,8 +94,10 @@
                         let held = self.held(&earlier);
                         let free: Vec<Machine> = list.iter().map(|m| hide(m, &held)).collect();
                         let loads = self.loads(&setup).await;
-                        self.advance(&mut waves, &mut ledger, &free, &setup, &loads).await;
-                        self.balance(&mut planner, &waves, &mut ledger, &free, &setup, &loads).await;
+                        pace.refill(steady_ms());
+                        self.advance(&mut waves, &mut ledger, &mut pace, &free, &setup, &loads).await;
+                        self.balance(&mut planner, &waves, &mut ledger, &mut pace, &free, &setup, &loads)
+                            .await;
                     }
                 }
                 Err(error) => tracing::info!(%error, "duty: machines not listed"),
@@ -115,6 +132,7 @@
         planner: &mut Planner,
         waves: &Waves,
         ledger: &mut Ledger,
+        pace: &mut Pace,
         list: &[Machine],
         setup: &Setup,
         loads: &[PoolLoad],
@@ -123,25 +141,35 @@
         let zones_out = self.node.wishes().zones_out;
         let out = list.iter().filter(|m| zones_out.contains(&m.zone)).map(|m| &m.name);
         let busy = waves.open.values().flat_map(Wave::active).chain(out).cloned().collect();
-        let mut steps = Vec::new();
-        for step in planner.plan(steady_ms(), list, loads, &spare, &busy) {
-            let off = spare.contains(&step.from);
-            if off || self.node.empty(&step.from, &step.worker, ASK).await == Some(0) {
-                steps.push(step);
-            } else {
-                self.node.keep(&step.from, &step.worker, ASK).await;
-            }
-        }
+        let mut wanted = planner.plan(steady_ms(), list, loads, &spare, &busy);
+        wanted.truncate(pace.left());
+        let emptied = join_all(wanted.into_iter().map(|s| self.emptied(&spare, s))).await;
+        let steps: Vec<Move> = emptied.into_iter().flatten().collect();
         let noted = self.note_orders(ledger, steps.iter().map(|s| s.machine.as_str()).collect()).await;
-        for step in steps {
-            if noted {
-                self.shift(planner, &step).await;
-            } else {
-                self.node.keep(&step.from, &step.worker, ASK).await;
+        if !noted {
+            join_all(steps.iter().map(|s| self.node.keep(&s.from, &s.worker, ASK))).await;
+            return;
+        }
+        pace.take(steps.len());
+        let answers = join_all(steps.iter().map(|s| self.shift(s))).await;
+        for (step, moved) in steps.iter().zip(answers) {
+            match moved {
+                Moved::Sent => planner.sent(steady_ms(), step),
+                Moved::Barred => planner.bar(&step.machine, &step.to),
+                Moved::Kept => {}
             }
         }
     }
 
+    /// The move, if nothing runs on its machine any more; else its worker is used again.
+    async fn emptied(&self, spare: &BTreeSet<String>, step: Move) -> Option<Move> {
+        if spare.contains(&step.from) || self.node.empty(&step.from, &step.worker, ASK).await == Some(0) {
+            return Some(step);
+        }
+        self.node.keep(&step.from, &step.worker, ASK).await;
+        None
+    }
+
     /// Machines that another holder of the duty may have ordered within the lease of such orders.
     fn held(&self, earlier: &BTreeMap<String, u64>) -> BTreeSet<String> {
         let now = wall_ms();
@@ -165,19 +193,20 @@
         noted
     }
 
-    async fn shift(&self, planner: &mut Planner, step: &Move) {
+    async fn shift(&self, step: &Move) -> Moved {
         if !self.node.holds(self.part, self.epoch) {
-            return;
+            return Moved::Kept;
         }
         let answer = self.machines.shift(&step.machine, &step.to, self.node.name(), self.epoch).await;
         metrics::counter!("lagoonrelay_machine_moves_total").increment(1);
         tracing::info!(machine = %step.machine, from = %step.from, to = %step.to, ?answer, "duty: machine moves");
         match answer {
-            Ok(Ordered::Done) | Err(Fault { verdict: Verdict::MayHaveRun | Verdict::Ran, .. }) => {
-                planner.sent(steady_ms(), step);
+            Ok(Ordered::Done) | Err(Fault { verdict: Verdict::MayHaveRun | Verdict::Ran, .. }) => Moved::Sent,
+            Ok(Ordered::Barred) => Moved::Barred,
+            Ok(Ordered::Refused) | Err(_) => {
+                self.node.keep(&step.from, &step.worker, ASK).await;
+                Moved::Kept
             }
-            Ok(Ordered::Barred) => planner.bar(&step.machine, &step.to),
-            Ok(Ordered::Refused) | Err(_) => self.node.keep(&step.from, &step.worker, ASK).await,
         }
     }
 
@@ -210,6 +239,7 @@
         &self,
         waves: &mut Waves,
         ledger: &mut Ledger,
+        pace: &mut Pace,
         list: &[Machine],
         setup: &Setup,
         loads: &[PoolLoad],
@@ -223,21 +253,21 @@
             if !self.node.holds(self.part, self.epoch) {
                 return;
             }
-            let steps = wave.plan(steady_ms(), list, &left, &idle);
-            let orders = steps.iter().filter_map(|n| match n {
-                Next::Order(name) => Some(name.as_str()),
-                Next::Empty(_) => None,
-            });
-            let noted = self.note_orders(ledger, orders.collect()).await;
-            for next in steps {
+            let mut orders = Vec::new();
+            for next in wave.plan(steady_ms(), list, &left, &idle, pace.left()) {
                 match next {
                     Next::Empty(name) => tracing::info!(wave = number, machine = %name, "duty: emptied"),
-                    Next::Order(name) => {
-                        let outcome = if noted { self.order(&name, number).await } else { Outcome::NotDone };
-                        wave.ordered(steady_ms(), &name, outcome);
-                    }
+                    Next::Order(name) => orders.push(name),
                 }
             }
+            let noted = self.note_orders(ledger, orders.iter().map(String::as_str).collect()).await;
+            if noted {
+                pace.take(orders.len());
+            }
+            let answers = join_all(orders.iter().map(|name| self.order(name, number, noted))).await;
+            for (name, outcome) in orders.iter().zip(answers) {
+                wave.ordered(steady_ms(), name, outcome);
+            }
             let (begun, complete) = (wave.begun(), wave.complete());
             self.record(waves, ledger, number, &begun, complete).await;
         }
@@ -246,20 +276,21 @@
     /// Runs left on the machines that are being emptied.
     async fn left(&self, wave: &Wave, list: &[Machine], setup: &Setup) -> BTreeMap<String, usize> {
         let spare = setup.spares();
-        let mut left = BTreeMap::new();
-        for name in wave.emptying() {
-            let Some(machine) = list.iter().find(|m| &m.name == name) else { continue };
-            if spare.contains(&machine.pool) {
-                left.insert(name.clone(), 0);
-            } else if let Some(count) = self.node.empty(&machine.pool, &machine.worker, ASK).await {
-                left.insert(name.clone(), count);
+        let emptying: BTreeSet<&String> = wave.emptying().collect();
+        let machines = list.iter().filter(|m| emptying.contains(&m.name));
+        let counts = machines.map(|machine| {
+            let off = spare.contains(&machine.pool);
+            async move {
+                let count =
+                    if off { Some(0) } else { self.node.empty(&machine.pool, &machine.worker, ASK).await };
+                Some((machine.name.clone(), count?))
             }
-        }
-        left
+        });
+        join_all(counts).await.into_iter().flatten().collect()
     }
 
-    async fn order(&self, machine: &str, wave: u64) -> Outcome {
-        if !self.node.holds(self.part, self.epoch) {
+    async fn order(&self, machine: &str, wave: u64, noted: bool) -> Outcome {
+        if !noted || !self.node.holds(self.part, self.epoch) {
             return Outcome::NotDone;
         }
         let answer = self.machines.maintain(machine, wave, self.node.name(), self.epoch).await;
--- a/components/relay/src/node.rs
+++ b/components/relay/src/node.rs
@@ -64,6 +64,8 @@
     pub duty_lease: u64,
     /// Milliseconds that a machine takes to join another pool.
     pub move_time: u64,
+    /// Orders for machines that the platform takes in a second.
+    pub duty_rate: f64,
     /// Partitions of the shards' topic; the last one carries the duty of maintenance.
     pub parts: u32,
     /// Carries shards whenever it runs; others stand by while such daemons do.
@@ -464,6 +466,7 @@
                 epoch,
                 lease: self.parts.duty_lease,
                 move_time: self.parts.move_time,
+                rate: self.parts.duty_rate,
             };
             let mut slot = self.duty.lock();
             *slot = Some((epoch, tokio::spawn(duty.run())));
--- a/components/relay/tests/daemons.rs
+++ b/components/relay/tests/daemons.rs
@@ -368,6 +368,7 @@
         limits: LIMITS,
         duty_lease: 3_000,
         move_time: 1_500,
+        duty_rate: 64.0,
         parts: PARTS,
         strong,
     };
--- a/components/upkeep/src/lib.rs
+++ b/components/upkeep/src/lib.rs
@@ -145,16 +145,17 @@
         }
     }
 
-    /// What to do next. `left` gives the runs on a machine, if that is known; nothing runs on `idle` machines
-    /// and nothing waits for them.
+    /// What to do next, with at most `most` orders. `left` gives the runs on a machine, if that is known; nothing
+    /// runs on `idle` machines and nothing waits for them.
     pub fn plan(
         &mut self,
         now: Ms,
         list: &[Machine],
         left: &BTreeMap<String, usize>,
         idle: &BTreeSet<String>,
+        most: usize,
     ) -> Vec<Next> {
-        let mut steps = self.orders(now, list, left);
+        let mut steps = self.orders(now, list, left, most);
         steps.extend(self.open_idle(now, list, idle));
         steps.extend(self.open_due(now, list));
         steps
@@ -165,11 +166,21 @@
             + self.stages.values().filter(|s| matches!(s, Stage::Ordered(_) | Stage::Begun(_))).count()
     }
 
-    fn orders(&mut self, now: Ms, list: &[Machine], left: &BTreeMap<String, usize>) -> Vec<Next> {
+    fn orders(
+        &mut self,
+        now: Ms,
+        list: &[Machine],
+        left: &BTreeMap<String, usize>,
+        most: usize,
+    ) -> Vec<Next> {
         let mut steps = Vec::new();
         for machine in list {
             let empty = machine.worker.is_empty() || left.get(&machine.name) == Some(&0);
-            if self.down() >= self.at_once || !empty || machine.state != MachineState::Up {
+            if steps.len() >= most
+                || self.down() >= self.at_once
+                || !empty
+                || machine.state != MachineState::Up
+            {
                 continue;
             }
             if let Some(stage @ Stage::Emptying(_)) = self.stages.get_mut(&machine.name) {
--- a/components/upkeep/tests/waves.rs
+++ b/components/upkeep/tests/waves.rs
@@ -38,7 +38,7 @@
         }
         wave.see(now, &list);
         let left = wave.emptying().map(|n| (n.clone(), 0)).collect();
-        for next in wave.plan(now, &list, &left, &BTreeSet::new()) {
+        for next in wave.plan(now, &list, &left, &BTreeSet::new(), usize::MAX) {
             if let Next::Order(name) = next {
                 let machine = list.iter_mut().find(|m| m.name == name).expect("listed");
                 machine.state = MachineState::Maintenance;
@@ -72,23 +72,23 @@
 fn a_machine_with_runs_is_not_taken_down() {
     let list = machines(1);
     let mut wave = Wave::new(&names(&list), 1, 0, SPAN, &BTreeSet::new());
-    wave.plan(0, &list, &BTreeMap::new(), &BTreeSet::new());
+    wave.plan(0, &list, &BTreeMap::new(), &BTreeSet::new(), usize::MAX);
     let left = [("m0".to_owned(), 2)].into();
-    expect_that!(wave.plan(5_000, &list, &left, &BTreeSet::new()), is_empty());
-    expect_that!(wave.plan(5_300, &list, &BTreeMap::new(), &BTreeSet::new()), is_empty());
+    expect_that!(wave.plan(5_000, &list, &left, &BTreeSet::new(), usize::MAX), is_empty());
+    expect_that!(wave.plan(5_300, &list, &BTreeMap::new(), &BTreeSet::new(), usize::MAX), is_empty());
 }
 
 #[gtest]
 fn an_unanswered_order_counts_as_down() {
     let list = machines(2);
     let mut wave = Wave::new(&names(&list), 1, 0, SPAN, &BTreeSet::new());
-    wave.plan(SPAN, &list, &BTreeMap::new(), &BTreeSet::new());
+    wave.plan(SPAN, &list, &BTreeMap::new(), &BTreeSet::new(), usize::MAX);
     let left: BTreeMap<String, usize> = wave.emptying().map(|n| (n.clone(), 0)).collect();
-    let steps = wave.plan(SPAN, &list, &left, &BTreeSet::new());
+    let steps = wave.plan(SPAN, &list, &left, &BTreeSet::new(), usize::MAX);
     let [Next::Order(first)] = &steps[..] else { panic!("{steps:?}") };
     wave.ordered(SPAN, first, Outcome::Unknown);
     wave.see(SPAN, &list);
-    expect_that!(wave.plan(SPAN + 300, &list, &left, &BTreeSet::new()), is_empty());
+    expect_that!(wave.plan(SPAN + 300, &list, &left, &BTreeSet::new(), usize::MAX), is_empty());
     expect_false!(wave.complete());
 }
 
@@ -105,12 +105,12 @@
 fn a_refused_machine_is_tried_again() {
     let list = machines(1);
     let mut wave = Wave::new(&names(&list), 1, 0, SPAN, &BTreeSet::new());
-    wave.plan(SPAN, &list, &BTreeMap::new(), &BTreeSet::new());
+    wave.plan(SPAN, &list, &BTreeMap::new(), &BTreeSet::new(), usize::MAX);
     let left = [("m0".to_owned(), 0)].into();
-    wave.plan(SPAN, &list, &left, &BTreeSet::new());
+    wave.plan(SPAN, &list, &left, &BTreeSet::new(), usize::MAX);
     wave.ordered(SPAN, "m0", Outcome::NotDone);
     expect_that!(
-        wave.plan(SPAN + 300, &list, &left, &BTreeSet::new()),
+        wave.plan(SPAN + 300, &list, &left, &BTreeSet::new(), usize::MAX),
         eq(&vec![Next::Empty("m0".to_owned())])
     );
 }
@@ -120,7 +120,7 @@
     let list = machines(6);
     let mut wave = Wave::new(&names(&list), 3, 0, SPAN, &BTreeSet::new());
     let idle: BTreeSet<String> = ["m3", "m4", "m5"].map(str::to_owned).into();
-    let steps = wave.plan(0, &list, &BTreeMap::new(), &idle);
+    let steps = wave.plan(0, &list, &BTreeMap::new(), &idle, usize::MAX);
     let opened: Vec<&str> = steps.iter().map(name_of).collect();
     expect_that!(opened, eq(&vec!["m3", "m4", "m5"]));
 }
@@ -129,7 +129,7 @@
 fn a_later_holder_goes_on_at_the_pace_of_the_first() {
     let list = machines(10);
     let mut wave = Wave::new(&names(&list), 10, 0, SPAN, &BTreeSet::new());
-    let steps = wave.plan(SPAN / 2, &list, &BTreeMap::new(), &BTreeSet::new());
+    let steps = wave.plan(SPAN / 2, &list, &BTreeMap::new(), &BTreeSet::new(), usize::MAX);
     expect_that!(steps.len(), ge(8));
 }
 
@@ -141,9 +141,12 @@
     let done = BTreeSet::from(["m0".to_owned()]);
     let mut wave = Wave::new(&names(&list), 2, 0, SPAN, &done);
     wave.see(SPAN, &list);
-    wave.plan(SPAN, &list, &BTreeMap::new(), &BTreeSet::new());
+    wave.plan(SPAN, &list, &BTreeMap::new(), &BTreeSet::new(), usize::MAX);
     let left = ["m2", "m3"].map(|n| (n.to_owned(), 0)).into();
-    expect_that!(wave.plan(SPAN, &list, &left, &BTreeSet::new()), each(matches_pattern!(Next::Empty(_))));
+    expect_that!(
+        wave.plan(SPAN, &list, &left, &BTreeSet::new(), usize::MAX),
+        each(matches_pattern!(Next::Empty(_)))
+    );
     expect_false!(wave.complete());
 }
 
@@ -152,3 +155,17 @@
         Next::Empty(name) | Next::Order(name) => name,
     }
 }
+
+#[test]
+fn orders_beyond_the_rate_wait_for_the_next_look() {
+    let list = machines(6);
+    let names: Vec<String> = list.iter().map(|m| m.name.clone()).collect();
+    let mut wave = Wave::new(&names, 6, 0, SPAN, &BTreeSet::new());
+    let idle = names.iter().cloned().collect();
+    wave.plan(0, &list, &BTreeMap::new(), &idle, usize::MAX);
+    let left: BTreeMap<String, usize> = names.iter().map(|n| (n.clone(), 0)).collect();
+    for _ in 0..3 {
+        assert_that!(wave.plan(100, &list, &left, &BTreeSet::new(), 2), len(eq(2)));
+    }
+    assert_that!(wave.plan(100, &list, &left, &BTreeSet::new(), 2), is_empty());
+}
