--- a/components/relay/src/duty.rs
+++ b/components/relay/src/duty.rs
@@ -54,6 +54,13 @@
     pub rate: f64,
 }
 
+/// What the duty sees in one round.
+struct Sight {
+    list: Vec<Machine>,
+    setup: Arc<Setup>,
+    loads: Vec<PoolLoad>,
+}
+
 /// What became of a move.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Moved {
@@ -92,12 +99,12 @@
                     if let Some(setup) = wishes.setup {
                         // Another holder may have ordered these a moment ago.
                         let held = self.held(&earlier);
-                        let free: Vec<Machine> = list.iter().map(|m| hide(m, &held)).collect();
+                        let list = list.iter().map(|m| hide(m, &held)).collect();
                         let loads = self.loads(&setup).await;
+                        let sight = Sight { list, setup, loads };
                         pace.refill(steady_ms());
-                        self.advance(&mut waves, &mut ledger, &mut pace, &free, &setup, &loads).await;
-                        self.balance(&mut planner, &waves, &mut ledger, &mut pace, &free, &setup, &loads)
-                            .await;
+                        self.advance(&mut waves, &mut ledger, &mut pace, &sight).await;
+                        self.balance(&mut planner, &waves, &mut ledger, &mut pace, &sight).await;
                     }
                 }
                 Err(error) => tracing::info!(%error, "duty: machines not listed"),
@@ -133,10 +140,9 @@
         waves: &Waves,
         ledger: &mut Ledger,
         pace: &mut Pace,
-        list: &[Machine],
-        setup: &Setup,
-        loads: &[PoolLoad],
+        sight: &Sight,
     ) {
+        let Sight { list, setup, loads } = sight;
         let spare = setup.spares();
         let zones_out = self.node.wishes().zones_out;
         let out = list.iter().filter(|m| zones_out.contains(&m.zone)).map(|m| &m.name);
@@ -235,15 +241,8 @@
         }
     }
 
-    async fn advance(
-        &self,
-        waves: &mut Waves,
-        ledger: &mut Ledger,
-        pace: &mut Pace,
-        list: &[Machine],
-        setup: &Setup,
-        loads: &[PoolLoad],
-    ) {
+    async fn advance(&self, waves: &mut Waves, ledger: &mut Ledger, pace: &mut Pace, sight: &Sight) {
+        let Sight { list, setup, loads } = sight;
         let idle = idle(list, setup, loads);
         let numbers: Vec<u64> = waves.open.keys().copied().collect();
         for number in numbers {
