Lasting tasks leave machines that are due from the start of a wave

Job has 24 lasting tasks, 12 of them on due machines, of which one may be away at a time; each move takes 1.6 s. Its moves began at 14.7 s, when its machines came up for emptying, and ended at 33.4 s. Lasting tasks also moved to machines that were due later, so they moved twice. Ruled out: the rate of orders (350 of them, none refused) and the bound on machines down. Change: the duty tells each shard which of its workers are due; lasting tasks prefer others, and leave due workers from the start of the wave within their budget.

--- a/components/relay/src/duty.rs
+++ b/components/relay/src/duty.rs
@@ -99,8 +99,8 @@
                     if let Some(setup) = wishes.setup {
                         // Another holder may have ordered these a moment ago.
                         let held = self.held(&earlier);
-                        let list = list.iter().map(|m| hide(m, &held)).collect();
-                        let loads = self.loads(&setup).await;
+                        let list: Vec<Machine> = list.iter().map(|m| hide(m, &held)).collect();
+                        let loads = self.loads(&setup, &list, &waves).await;
                         let sight = Sight { list, setup, loads };
                         pace.refill(steady_ms());
                         self.advance(&mut waves, &mut ledger, &mut pace, &sight).await;
@@ -128,8 +128,12 @@
         }
     }
 
-    async fn loads(&self, setup: &Setup) -> Vec<PoolLoad> {
-        let asked = setup.pools.iter().filter(|p| !p.spare).map(|p| self.node.load_of(&p.name, ASK));
+    async fn loads(&self, setup: &Setup, list: &[Machine], waves: &Waves) -> Vec<PoolLoad> {
+        let owed: BTreeSet<&String> = waves.open.values().flat_map(Wave::owed).collect();
+        let asked = setup.pools.iter().filter(|p| !p.spare).map(|pool| {
+            let due = list.iter().filter(|m| m.pool == pool.name && owed.contains(&m.name));
+            self.node.load_of(&pool.name, due.map(|m| m.worker.clone()).collect(), ASK)
+        });
         join_all(asked).await.into_iter().flatten().collect()
     }
 
--- a/components/relay/src/node.rs
+++ b/components/relay/src/node.rs
@@ -20,7 +20,7 @@
 use crate::member::{self, Standing};
 use crate::mesh::{self, Mesh, MeshFault};
 use crate::owner::{Owner, Surroundings};
-use crate::reply::{Ask, Kind, LoadRow, Reply, RightsReport, Want};
+use crate::reply::{Ask, Kind, LoadAsk, LoadRow, Reply, RightsReport, Want};
 use crate::roster::{self, Roster};
 use crate::setup::Setup;
 use crate::standby::{self, Role, Standby};
@@ -321,9 +321,9 @@
         slot.1.report(&report.into()).map_or(Reply::of(Kind::NotOwner), Reply::rights)
     }
 
-    /// Asks for the load of a service's workers.
-    pub async fn load_of(&self, service: &str, within: Duration) -> Option<PoolLoad> {
-        let want = Want::Load(service.to_owned());
+    /// Asks for the load of a service's workers, and tells which of them are due for maintenance.
+    pub async fn load_of(&self, service: &str, due: Vec<String>, within: Duration) -> Option<PoolLoad> {
+        let want = Want::Load(LoadAsk { service: service.to_owned(), due });
         let load = self.ask_once(self.part(service)?, want, within).await.ok()?.load?;
         let LoadRow { wanted, used, room, idle } = load;
         Some(PoolLoad { name: service.to_owned(), wanted, used, room, idle })
--- a/components/relay/src/owner.rs
+++ b/components/relay/src/owner.rs
@@ -13,7 +13,7 @@
 use crate::edge::{Appended, Look, Looked, Orders, Store};
 use crate::member::Standing;
 use crate::node::{EPOCHS, Node};
-use crate::reply::{Kind, Reply, Want};
+use crate::reply::{Kind, LoadAsk, Reply, Want};
 use crate::roster::Roster;
 use crate::watch::Wishes;
 
@@ -274,7 +274,8 @@
             }
             // The daemon answers these, not a shard.
             Want::Rights(_) | Want::Documents(_) => Reply::of(Kind::Unset),
-            Want::Load(service) => {
+            Want::Load(LoadAsk { service, due }) => {
+                self.input(Input::Due { service: service.clone(), workers: due });
                 let load = Some(self.shard.load_of(&service).into());
                 Reply { load, ..Reply::of(Kind::Load) }
             }
--- a/components/relay/src/reply.rs
+++ b/components/relay/src/reply.rs
@@ -41,8 +41,8 @@
     #[prost(message, tag = "8")]
     Rights(RightsReport),
     /// Load of a service's workers.
-    #[prost(string, tag = "9")]
-    Load(String),
+    #[prost(message, tag = "9")]
+    Load(LoadAsk),
     /// Operators' documents later than this place.
     #[prost(uint64, tag = "11")]
     Documents(u64),
@@ -51,6 +51,17 @@
     Keep(String),
 }
 
+/// A question for the load of a service's workers.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct LoadAsk {
+    /// Service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Ids of its workers whose machines are still due for maintenance.
+    #[prost(string, repeated, tag = "2")]
+    pub due: Vec<String>,
+}
+
 /// An amount.
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
 pub struct Amount {
--- a/components/shard/src/drain.rs
+++ b/components/shard/src/drain.rs
@@ -1,5 +1,7 @@
 //! Emptying a worker for maintenance without breaking a disruption budget.
 
+use std::collections::HashSet;
+
 use crate::job::{Stage, TaskRef};
 use crate::machine::Shard;
 use crate::worker::{Contact, RunPhase, StopCause, WorkerKey};
@@ -16,6 +18,13 @@
         }
     }
 
+    pub(crate) fn mark_due(&mut self, service: &str, workers: &[String]) {
+        let due: HashSet<&String> = workers.iter().collect();
+        for worker in self.workers.iter_mut().filter(|w| w.info.service == service) {
+            worker.due = due.contains(&worker.info.id);
+        }
+    }
+
     /// Runs on a worker, if that is known for sure. A worker that is not known has none.
     #[must_use]
     pub fn left(&self, id: &str) -> Option<usize> {
@@ -27,24 +36,31 @@
         (worker.contact == Contact::Good).then_some(worker.runs.len() + worker.strangers.len())
     }
 
-    /// Stops what can be moved away from workers that are being emptied.
+    /// Stops what can be moved away from workers that are being emptied, then lasting tasks on workers that are
+    /// due: few of a step may be away at once, so moving them takes much of a wave's time.
     pub(crate) fn move_away(&mut self) {
-        for key in 0..u32::try_from(self.workers.len()).unwrap_or(0) {
-            let worker = &self.workers[key as usize];
-            if !worker.cordoned || worker.gone || worker.runs.is_empty() {
-                continue;
-            }
-            let tasks: Vec<TaskRef> = worker.runs.keys().copied().collect();
-            for task in tasks {
-                if self.may_move(key, &task)
-                    && let Some(run) = self.workers[key as usize].runs.get_mut(&task)
-                {
-                    run.stop(StopCause::Maintenance);
+        for cordoned in [true, false] {
+            for key in 0..u32::try_from(self.workers.len()).unwrap_or(0) {
+                let worker = &self.workers[key as usize];
+                let leaves = if cordoned { worker.cordoned } else { worker.due && !worker.cordoned };
+                if leaves && !worker.gone {
+                    self.move_from(key);
                 }
             }
         }
     }
 
+    fn move_from(&mut self, key: WorkerKey) {
+        let tasks: Vec<TaskRef> = self.workers[key as usize].runs.keys().copied().collect();
+        for task in tasks {
+            if self.may_move(key, &task)
+                && let Some(run) = self.workers[key as usize].runs.get_mut(&task)
+            {
+                run.stop(StopCause::Maintenance);
+            }
+        }
+    }
+
     fn may_move(&self, key: WorkerKey, task: &TaskRef) -> bool {
         let Some(run) = self.workers[key as usize].runs.get(task) else { return false };
         let Some(job) = self.jobs.get(&task.at.job) else { return false };
@@ -54,9 +70,12 @@
         }
         if spec.lasting {
             let budget = (spec.budget as usize).max(1);
-            return self.away(task) < budget && self.has_room_elsewhere(task);
+            return self.away(task) < budget && self.has_room_elsewhere(key, task);
         }
-        spec.saves && run.percent < NEARLY_DONE && self.has_room_elsewhere(task)
+        self.workers[key as usize].cordoned
+            && spec.saves
+            && run.percent < NEARLY_DONE
+            && self.has_room_elsewhere(key, task)
     }
 
     /// Other tasks of the step that are not at work.
@@ -79,9 +98,12 @@
             .count()
     }
 
-    fn has_room_elsewhere(&self, task: &TaskRef) -> bool {
+    /// Another worker has room for a task; for a lasting task on a due worker, one that is not due itself.
+    fn has_room_elsewhere(&self, from: WorkerKey, task: &TaskRef) -> bool {
         let Some(job) = self.jobs.get(&task.at.job) else { return false };
         let Some(spec) = job.spec.steps.get(task.at.step as usize) else { return false };
-        self.choose(task, spec, &[]).is_some()
+        let early = !self.workers[from as usize].cordoned;
+        let better = |to: WorkerKey| to != from && !(early && self.workers[to as usize].due);
+        self.choose(task, spec, &[]).is_some_and(better)
     }
 }
--- a/components/shard/src/io.rs
+++ b/components/shard/src/io.rs
@@ -119,6 +119,13 @@
     Stored,
     /// The log has surely not stored the batch in flight.
     NotStored,
+    /// The workers of a service whose machines are still due for maintenance.
+    Due {
+        /// Service.
+        service: String,
+        /// Ids.
+        workers: Vec<String>,
+    },
     /// A worker is to be emptied for maintenance, or may be used again.
     Cordon {
         /// Worker's id.
--- a/components/shard/src/machine.rs
+++ b/components/shard/src/machine.rs
@@ -113,6 +113,7 @@
             Input::Stored => self.stored(),
             Input::NotStored => self.not_stored(),
             Input::Cordon { worker, on } => self.cordon(&worker, on),
+            Input::Due { service, workers } => self.mark_due(&service, &workers),
         }
     }
 
--- a/components/shard/src/place.rs
+++ b/components/shard/src/place.rs
@@ -154,7 +154,7 @@
         let entry =
             job.turn(task.at.turn)?.steps.get(task.at.step as usize)?.tasks.get(task.index as usize)?;
         let room = spec.room();
-        let mut best: Option<((bool, bool, u64, u64), WorkerKey)> = None;
+        let mut best: Option<((bool, bool, bool, u64, u64), WorkerKey)> = None;
         for (key, worker) in (0..).zip(&self.workers) {
             if !worker.usable(self.now) || !room.fits(&worker.free()) || claimed.contains(&key) {
                 continue;
@@ -164,6 +164,8 @@
             }
             let avoided = entry.avoid.contains(&key);
             let away = !spec.rack.is_empty() && worker.rack != spec.rack;
+            // A lasting task would have to move again.
+            let due = spec.lasting && worker.due;
             let load = load_of(&worker.used, &worker.info.room);
             // Lasting tasks are packed, so that whole machines stay free for other pools.
             let load = if spec.lasting { FULL.saturating_sub(load) } else { load };
@@ -174,7 +176,7 @@
             } else {
                 0
             };
-            let score = (avoided, away, company, load);
+            let score = (avoided, away, due, company, load);
             if best.as_ref().is_none_or(|(s, _)| score < *s) {
                 best = Some((score, key));
             }
--- a/components/shard/src/worker.rs
+++ b/components/shard/src/worker.rs
@@ -143,6 +143,8 @@
     pub rest_until: Ms,
     /// To be emptied for maintenance.
     pub cordoned: bool,
+    /// Its machine is still due for maintenance.
+    pub due: bool,
     pub gone: bool,
 }
 
@@ -168,6 +170,7 @@
             strikes: 0,
             rest_until: 0,
             cordoned: false,
+            due: false,
             gone: false,
         }
     }
--- a/components/shard/tests/fleet/losses.rs
+++ b/components/shard/tests/fleet/losses.rs
@@ -166,6 +166,42 @@
     }
 }
 
+#[gtest]
+fn lasting_tasks_leave_workers_that_are_due_one_at_a_time_and_only_for_others() {
+    let mut fleet = Fleet::new(5, 4_000);
+    fleet.submit(lasting("a", 2, 1_000));
+    fleet.run(2_500);
+    let both: Vec<String> = fleet.orders.iter().map(|o| o.worker.clone()).collect();
+    let due = |workers: &[String]| Input::Due { service: "quotes".into(), workers: workers.to_vec() };
+    fleet.input(due(&both));
+    for _ in 0..600 {
+        fleet.run(10);
+        let running: usize = fleet.workers.values().map(|w| w.running.len()).sum();
+        assert!(running >= 1, "both tasks are away");
+    }
+    for worker in &both {
+        expect_that!(fleet.shard.left(worker), some(eq(0)));
+    }
+    let moved = fleet.stops.len();
+    // Where every worker is due, moving helps nobody.
+    let all: Vec<String> = fleet.workers.keys().cloned().collect();
+    fleet.input(due(&all));
+    fleet.run(3_000);
+    expect_that!(fleet.stops.len(), eq(moved));
+}
+
+#[gtest]
+fn other_tasks_stay_on_workers_that_are_only_due() {
+    let mut fleet = Fleet::new(2, 4_000);
+    fleet.work = 3_000;
+    fleet.submit(job("a", vec![StepSpec { saves: true, ..step(4, 1_000) }]));
+    fleet.run(500);
+    let all: Vec<String> = fleet.workers.keys().take(1).cloned().collect();
+    fleet.input(Input::Due { service: "quotes".into(), workers: all });
+    fleet.run(2_000);
+    expect_that!(fleet.stops, is_empty());
+}
+
 #[gtest]
 fn emptying_counts_a_task_on_a_silent_worker_as_away() {
     let mut fleet = Fleet::new(4, 4_000);
--- a/components/upkeep/src/lib.rs
+++ b/components/upkeep/src/lib.rs
@@ -130,6 +130,12 @@
         self.stages.iter().filter(move |(_, s)| active(s)).map(|(n, _)| n)
     }
 
+    /// Machines that have not begun.
+    pub fn owed(&self) -> impl Iterator<Item = &String> {
+        let owed = |s: &Stage| matches!(s, Stage::Pending | Stage::Emptying(_));
+        self.stages.iter().filter(move |(_, s)| owed(s)).map(|(n, _)| n)
+    }
+
     /// Machines that are being emptied.
     pub fn emptying(&self) -> impl Iterator<Item = &String> {
         self.stages.iter().filter(|(_, s)| matches!(s, Stage::Emptying(_))).map(|(n, _)| n)
