--- a/components/shard/src/place.rs
+++ b/components/shard/src/place.rs
@@ -13,6 +13,10 @@
 /// Steps that find no room in one pass before the pass ends.
 const FAILED_STEPS: usize = 24;
 
+/// What speaks against a worker, the weightiest first: a task failed there, other rack, due for maintenance,
+/// tasks that disturb each other, load.
+type Cost = (bool, bool, bool, u64, u64);
+
 /// What became of one task.
 enum Placed {
     Yes,
@@ -154,7 +158,7 @@
         let entry =
             job.turn(task.at.turn)?.steps.get(task.at.step as usize)?.tasks.get(task.index as usize)?;
         let room = spec.room();
-        let mut best: Option<((bool, bool, bool, u64, u64), WorkerKey)> = None;
+        let mut best: Option<(Cost, WorkerKey)> = None;
         for (key, worker) in (0..).zip(&self.workers) {
             if !worker.usable(self.now) || !room.fits(&worker.free()) || claimed.contains(&key) {
                 continue;
@@ -176,9 +180,9 @@
             } else {
                 0
             };
-            let score = (avoided, away, due, company, load);
-            if best.as_ref().is_none_or(|(s, _)| score < *s) {
-                best = Some((score, key));
+            let cost = (avoided, away, due, company, load);
+            if best.as_ref().is_none_or(|(c, _)| cost < *c) {
+                best = Some((cost, key));
             }
         }
         best.map(|(_, key)| key)
