The list of workers is read only by owners of shards

Ruled out: processor time (25% of a core at the busiest daemon). Change: the list is read while the daemon owns a shard, and counts as unread before.

--- a/components/relay/src/node.rs
+++ b/components/relay/src/node.rs
@@ -102,6 +102,7 @@
     standing: watch::Receiver<Standing>,
     wishes: watch::Receiver<Wishes>,
     roster: watch::Receiver<Roster>,
+    roster_needed: watch::Sender<bool>,
     stopping: watch::Sender<bool>,
     role: watch::Sender<Role>,
     draining: AtomicBool,
@@ -132,7 +133,8 @@
         let name = standby::name(parts.mesh, parts.strong);
         tokio::spawn(member::run(Arc::clone(&parts.store), name, role_rx, standing_tx, stop));
         tokio::spawn(documents::run(Arc::clone(&parts.store), Arc::clone(&wishes_tx)));
-        tokio::spawn(roster::run(Arc::clone(&parts.store), roster_tx));
+        let (roster_needed, needed) = watch::channel(false);
+        tokio::spawn(roster::run(Arc::clone(&parts.store), roster_tx, needed));
         let own_address = parts.mesh;
         let node = Arc::new(Self {
             parts,
@@ -144,6 +146,7 @@
             standing,
             wishes,
             roster,
+            roster_needed,
             stopping,
             role,
             draining: AtomicBool::new(false),
@@ -438,6 +441,10 @@
             return;
         }
         drop(owned);
+        self.roster_needed.send_if_modified(|needed| {
+            let now = standing.share.parts.iter().any(|p| active.contains(p));
+            std::mem::replace(needed, now) != now
+        });
         self.adjust_duty(standing);
         let mut owned = self.owned.lock();
         for &part in standing.share.parts.iter().filter(|p| active.contains(p)) {
--- a/components/relay/src/roster.rs
+++ b/components/relay/src/roster.rs
@@ -1,4 +1,4 @@
-//! The platform's list of workers, read at intervals.
+//! The platform's list of workers, read at intervals while this daemon owns a shard.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -16,16 +16,24 @@
 /// are back within two seconds of its return.
 const GRACE_MS: u64 = 2_500;
 
-/// Workers by id; `None` until the list was read once.
+/// Workers by id; `None` until the list was read, and while it is not needed.
 pub type Roster = Option<Arc<HashMap<String, WorkerInfo>>>;
 
-/// Reads the list until the process ends.
-pub async fn run(store: Arc<dyn Store>, roster: watch::Sender<Roster>) {
+/// Reads the list while it is needed, until the process ends.
+pub async fn run(store: Arc<dyn Store>, roster: watch::Sender<Roster>, mut needed: watch::Receiver<bool>) {
     let mut table: HashMap<String, WorkerInfo> = HashMap::new();
     let mut leaving: HashMap<String, u64> = HashMap::new();
     let mut next = None;
     let mut down = false;
     loop {
+        if !*needed.borrow_and_update() {
+            // What was read is too old for the next shard; it still tells which workers have left since.
+            roster.send_replace(None);
+            if needed.changed().await.is_err() {
+                return;
+            }
+            continue;
+        }
         match store.workers(next).await {
             Ok(changes) => {
                 if down {
@@ -60,7 +68,7 @@
                     }
                     stays
                 });
-                if next.is_none() || table != before {
+                if roster.borrow().is_none() || table != before {
                     roster.send_replace(Some(Arc::new(table.clone())));
                 }
                 next = Some(changes.next);
@@ -72,6 +80,9 @@
                 down = true;
             }
         }
-        tokio::time::sleep(EVERY).await;
+        tokio::select! {
+            () = tokio::time::sleep(EVERY) => {}
+            changed = needed.changed() => if changed.is_err() { return },
+        }
     }
 }
