--- a/src/cli.rs
+++ b/src/cli.rs
@@ -3,9 +3,27 @@
 use std::ffi::OsString;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::str::FromStr;
+use std::time::Duration;
 
 use crate::logging::LogFormat;
 
+/// A time on the command line.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Span(pub Duration);
+
+impl FromStr for Span {
+    type Err = humantime::DurationError;
+
+    /// Reads `10s` or `1m 30s`; a plain number counts seconds.
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        if let Ok(seconds) = text.parse() {
+            return Ok(Self(Duration::from_secs(seconds)));
+        }
+        humantime::parse_duration(text).map(Self)
+    }
+}
+
 xflags::xflags! {
     /// Shared fleet capacity and maintenance manager.
     cmd lagoonrelay {
@@ -63,8 +81,8 @@
 
         /// Run stand-ins, workers and entry hosts in one process and send requests through them.
         cmd demo {
-            /// Seconds to run, also `--for`; without it, until Ctrl-C.
-            optional --for-seconds seconds: u64
+            /// Time to run, such as 10s or 2m, or plain seconds; also `--for`. Without it, until Ctrl-C.
+            optional --for-time time: Span
         }
 
         /// Run one stand-in of the platform.
@@ -84,7 +102,7 @@
     pub fn read_or_exit() -> Self {
         // `for` is a keyword and cannot be a field of the generated types.
         let long = |arg: OsString| {
-            if arg == "--for" { OsString::from("--for-seconds") } else { arg }
+            if arg == "--for" { OsString::from("--for-time") } else { arg }
         };
         Self::from_vec(std::env::args_os().skip(1).map(long).collect()).unwrap_or_else(|error| error.exit())
     }
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -59,7 +59,7 @@
         let addr = fleet.callers[number % ENTRY_HOSTS].to_string();
         senders.spawn(send(number, addr, Arc::clone(&tally), Arc::clone(&over)));
     }
-    wait(flags.for_seconds.map(Duration::from_secs)).await;
+    wait(flags.for_time.map(|t| t.0)).await;
     over.store(true, Ordering::SeqCst);
     while senders.join_next().await.is_some() {}
     stop.send_modify(|n| *n += 1);
