--- /dev/null
+++ b/components/relay/src/node/documents.rs
@@ -0,0 +1,70 @@
+//! Operators' documents told between daemons, for those that the store turns away.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::watch;
+
+use super::Node;
+use crate::reply::{Kind, Reply, Want};
+use crate::watch::Wishes;
+
+/// Pause between questions to other daemons while the store does not answer.
+const HEAR_EVERY: Duration = Duration::from_millis(200);
+/// Time in which another daemon answers such a question.
+const HEAR_ANSWER: Duration = Duration::from_millis(200);
+
+impl Node {
+    /// Other daemons that this one knows: owners of shards, and those that have asked it.
+    #[must_use]
+    pub fn peers(&self) -> Vec<SocketAddr> {
+        let mut peers = self.known.lock().clone();
+        peers.extend(self.owners.lock().values());
+        peers.remove(&self.parts.mesh);
+        peers.into_iter().collect()
+    }
+
+    /// Operators' documents for a daemon that the store turns away.
+    pub(super) fn documents(&self, place: u64) -> Reply {
+        let wishes = self.wishes.borrow();
+        if wishes.place <= place {
+            return Reply::of(Kind::Unknown);
+        }
+        match serde_json::to_string(&*wishes) {
+            Ok(text) => Reply { text, ..Reply::of(Kind::Documents) },
+            Err(error) => {
+                tracing::warn!(%error, "node: documents not encoded");
+                Reply::of(Kind::Unset)
+            }
+        }
+    }
+
+    /// While the store does not answer, asks the other daemons in turn for operators' documents.
+    pub(super) async fn hear_documents(self: Arc<Self>, wishes: Arc<watch::Sender<Wishes>>) {
+        let mut turn = 0;
+        loop {
+            tokio::time::sleep(HEAR_EVERY).await;
+            let (stale, place) = {
+                let wishes = self.wishes.borrow();
+                (wishes.stale(), wishes.place)
+            };
+            if !stale {
+                continue;
+            }
+            let peers = self.peers();
+            let Some(peer) = peers.get(turn % peers.len().max(1)) else { continue };
+            turn += 1;
+            let Ok(reply) = self.mesh.ask(*peer, 0, Want::Documents(place), HEAR_ANSWER).await else {
+                continue;
+            };
+            if reply.kind() != Kind::Documents {
+                continue;
+            }
+            match serde_json::from_str::<Wishes>(&reply.text) {
+                Ok(later) => drop(wishes.send_if_modified(|w| w.merge(later))),
+                Err(error) => tracing::warn!(%error, "node: documents of another daemon not understood"),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/relay/src/node/shares.rs
@@ -0,0 +1,151 @@
+//! Which shards this daemon owns, and who owns the others.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use super::Node;
+use crate::clock::steady_ms;
+use crate::duty::Duty;
+use crate::member::Standing;
+use crate::owner::{Owner, Surroundings};
+use crate::standby::{self, Standby};
+
+/// Shortest pause between two reads of the owners.
+const OWNERS_EVERY: Duration = Duration::from_millis(250);
+/// Epochs in one generation of the group: a daemon may take the same shard over more than once in it.
+pub const EPOCHS: u64 = 64;
+
+impl Node {
+    /// Starts and ends ownership as the group deals shards out.
+    pub(super) async fn keep_shards(self: Arc<Self>) {
+        let mut standing = self.standing.clone();
+        let mut wishes = self.wishes.clone();
+        loop {
+            self.adjust(&standing.borrow_and_update().clone());
+            let again = tokio::time::sleep(OWNERS_EVERY);
+            tokio::select! {
+                changed = standing.changed() => if changed.is_err() { return },
+                changed = wishes.changed() => if changed.is_err() { return },
+                () = again => {}
+            }
+        }
+    }
+
+    pub(super) fn adjust(self: &Arc<Self>, standing: &Standing) {
+        if self.draining.load(Ordering::Relaxed) {
+            return;
+        }
+        let Some(setup) = self.setup() else { return };
+        let active: Vec<u32> = setup.parts(self.duty_part()).into_values().collect();
+        let mut owned = self.owned.lock();
+        owned.retain(|_, owner| !owner.ended());
+        if !standing.sure() {
+            return;
+        }
+        drop(owned);
+        self.roster_needed.send_if_modified(|needed| {
+            let now = standing.share.parts.iter().any(|p| active.contains(p));
+            std::mem::replace(needed, now) != now
+        });
+        self.adjust_duty(standing);
+        let mut owned = self.owned.lock();
+        for &part in standing.share.parts.iter().filter(|p| active.contains(p)) {
+            owned.entry(part).or_insert_with(|| {
+                let epoch = self.epoch(standing.share.generation);
+                tracing::info!(part, epoch, "node: shard is ours");
+                Owner::start(part, epoch, self.around())
+            });
+        }
+    }
+
+    /// Takes or leaves the duty of maintenance.
+    pub(super) fn adjust_duty(self: &Arc<Self>, standing: &Standing) {
+        let part = self.duty_part();
+        let ours = standing.share.parts.contains(&part);
+        let running = self.duty.lock().as_ref().is_some_and(|(_, task)| !task.is_finished());
+        if !ours {
+            *self.duty.lock() = None;
+        } else if !running {
+            let epoch = self.epoch(standing.share.generation);
+            let duty = Duty {
+                node: Arc::clone(self),
+                store: Arc::clone(&self.parts.store),
+                machines: Arc::clone(&self.parts.machines),
+                part,
+                epoch,
+                lease: self.parts.duty_lease,
+                move_time: self.parts.move_time,
+                rate: self.parts.duty_rate,
+            };
+            let mut slot = self.duty.lock();
+            *slot = Some((epoch, tokio::spawn(duty.run())));
+        }
+    }
+
+    /// A new epoch: above all of earlier generations, and above this daemon's earlier ones of the same.
+    pub(super) fn epoch(&self, generation: u64) -> u64 {
+        let mut last = self.last_epoch.lock();
+        let epoch = (generation * EPOCHS).max(*last + 1);
+        *last = epoch;
+        epoch
+    }
+
+    pub(super) fn around(self: &Arc<Self>) -> Surroundings {
+        Surroundings {
+            node: Arc::clone(self),
+            store: Arc::clone(&self.parts.store),
+            orders: Arc::clone(&self.parts.orders),
+            limits: self.parts.limits,
+            parts: self.duty_part(),
+            standing: self.standing.clone(),
+            roster: self.roster.clone(),
+            wishes: self.wishes.clone(),
+        }
+    }
+
+    /// Keeps the table of owners: read when the group changed, when an owner could not be reached, and while
+    /// this daemon waits for one.
+    pub(super) async fn keep_owners(self: Arc<Self>) {
+        let mut standing = self.standing.clone();
+        let mut standby = Standby::default();
+        let mut generation = 0;
+        loop {
+            tokio::select! {
+                changed = standing.changed() => if changed.is_err() { return },
+                () = self.stale.notified() => generation = 0,
+                () = tokio::time::sleep(OWNERS_EVERY), if standby.waits() => generation = 0,
+            }
+            let newest = standing.borrow_and_update().share.generation;
+            if newest == generation {
+                continue;
+            }
+            match self.parts.store.owners().await {
+                Ok(rows) => {
+                    self.learn_owners(&rows, &mut standby);
+                    generation = newest;
+                }
+                Err(error) => tracing::debug!(%error, "node: owners not read"),
+            }
+            tokio::time::sleep(OWNERS_EVERY).await;
+        }
+    }
+
+    pub(super) fn learn_owners(&self, rows: &[(u32, Option<String>)], standby: &mut Standby) {
+        let known = |member: &Option<String>| member.as_deref().and_then(standby::parse);
+        let owners: Vec<(u32, Option<(SocketAddr, bool)>)> =
+            rows.iter().map(|(p, m)| (*p, known(m))).collect();
+        *self.owners.lock() = owners.iter().filter_map(|(p, owner)| Some((*p, (*owner)?.0))).collect();
+        if self.parts.strong {
+            return;
+        }
+        let strength: Vec<Option<bool>> = owners.iter().map(|(_, owner)| Some((*owner)?.1)).collect();
+        let before = *self.role.borrow();
+        let role = standby.choose(before, &strength, steady_ms());
+        if role != before {
+            tracing::info!(?role, "node: role");
+            self.role.send_replace(role);
+        }
+    }
+}
