--- a/components/relay/src/node/shares.rs
+++ b/components/relay/src/node/shares.rs
@@ -33,18 +33,16 @@
         }
     }
 
-    pub(super) fn adjust(self: &Arc<Self>, standing: &Standing) {
+    fn adjust(self: &Arc<Self>, standing: &Standing) {
         if self.draining.load(Ordering::Relaxed) {
             return;
         }
         let Some(setup) = self.setup() else { return };
         let active: Vec<u32> = setup.parts(self.duty_part()).into_values().collect();
-        let mut owned = self.owned.lock();
-        owned.retain(|_, owner| !owner.ended());
+        self.owned.lock().retain(|_, owner| !owner.ended());
         if !standing.sure() {
             return;
         }
-        drop(owned);
         self.roster_needed.send_if_modified(|needed| {
             let now = standing.share.parts.iter().any(|p| active.contains(p));
             std::mem::replace(needed, now) != now
@@ -61,7 +59,7 @@
     }
 
     /// Takes or leaves the duty of maintenance.
-    pub(super) fn adjust_duty(self: &Arc<Self>, standing: &Standing) {
+    fn adjust_duty(self: &Arc<Self>, standing: &Standing) {
         let part = self.duty_part();
         let ours = standing.share.parts.contains(&part);
         let running = self.duty.lock().as_ref().is_some_and(|(_, task)| !task.is_finished());
@@ -85,14 +83,14 @@
     }
 
     /// A new epoch: above all of earlier generations, and above this daemon's earlier ones of the same.
-    pub(super) fn epoch(&self, generation: u64) -> u64 {
+    fn epoch(&self, generation: u64) -> u64 {
         let mut last = self.last_epoch.lock();
         let epoch = (generation * EPOCHS).max(*last + 1);
         *last = epoch;
         epoch
     }
 
-    pub(super) fn around(self: &Arc<Self>) -> Surroundings {
+    fn around(self: &Arc<Self>) -> Surroundings {
         Surroundings {
             node: Arc::clone(self),
             store: Arc::clone(&self.parts.store),
@@ -132,7 +130,7 @@
         }
     }
 
-    pub(super) fn learn_owners(&self, rows: &[(u32, Option<String>)], standby: &mut Standby) {
+    fn learn_owners(&self, rows: &[(u32, Option<String>)], standby: &mut Standby) {
         let known = |member: &Option<String>| member.as_deref().and_then(standby::parse);
         let owners: Vec<(u32, Option<(SocketAddr, bool)>)> =
             rows.iter().map(|(p, m)| (*p, known(m))).collect();
--- a/components/relay/tests/daemons.rs
+++ b/components/relay/tests/daemons.rs
@@ -46,6 +46,8 @@
     version: u64,
     workers: HashMap<String, Worker>,
     starts: Vec<(String, u32)>,
+    /// Members that have read the list of workers.
+    readers: HashSet<String>,
 }
 
 #[derive(Debug, Default)]
@@ -192,7 +194,8 @@
 
     fn workers(&self, _from: Option<u64>) -> Call<'_, Changes<WorkerInfo>> {
         Box::pin(async move {
-            let state = self.open()?;
+            let mut state = self.open()?;
+            state.readers.insert(self.member.clone());
             let items = state.workers.keys().map(|id| (id.clone(), Some(info(id)))).collect();
             Ok(Changes { next: 1, whole: true, items })
         })
@@ -502,10 +505,12 @@
     role_taken(&platform, &weak.member, Role::Standby).await;
     submitted(&weak.node, 2).await;
     completed(&weak.node, 2).await;
+    assert_that!(platform.state.lock().readers, unordered_elements_are![&strong[0].member]);
     platform.state.lock().turned_away.insert(strong[0].member.clone());
     role_taken(&platform, &weak.member, Role::Owner).await;
     submitted(&weak.node, 3).await;
     completed(&weak.node, 3).await;
+    assert_that!(platform.state.lock().readers, contains(eq(&weak.member)));
     platform.state.lock().turned_away.clear();
     role_taken(&platform, &weak.member, Role::Standby).await;
     completed(&strong[0].node, 3).await;
