A new owner waits for stops of the old one before it moves lasting tasks

The old owner's stop of one was under way when the new owner looked: its first look still listed that task at work, and the new owner stopped the other. Ruled out: two owners at once (all later starts are by one host). Test: a_new_owner_moves_no_lasting_task_while_a_stop_of_the_old_one_may_go_on, which fails without the change.

--- a/components/shard/src/drain.rs
+++ b/components/shard/src/drain.rs
@@ -4,7 +4,7 @@
 
 use crate::job::{Stage, TaskRef};
 use crate::machine::Shard;
-use crate::worker::{Contact, RunPhase, StopCause, WorkerKey};
+use crate::worker::{Contact, RunPhase, StopCause, Worker, WorkerKey};
 
 /// A checkpointing run beyond this percentage ends soon by itself.
 const NEARLY_DONE: u32 = 80;
@@ -87,8 +87,9 @@
         let at_work = |index: u32, key: WorkerKey| {
             let at = TaskRef { at: task.at, index };
             let worker = &self.workers[key as usize];
-            // What a silent worker said last may be long over.
-            let run = worker.runs.get(&at).filter(|_| worker.contact == Contact::Good);
+            // What a silent worker said last may be long over, and a stop of an earlier owner may still go on.
+            let known = worker.contact == Contact::Good && self.settled(worker);
+            let run = worker.runs.get(&at).filter(|_| known);
             run.is_some_and(|r| matches!(r.phase, RunPhase::Running(_)) && r.percent >= AT_WORK)
         };
         (0..)
@@ -98,6 +99,11 @@
             .count()
     }
 
+    /// Whatever earlier owners have ordered on a worker is over.
+    fn settled(&self, worker: &Worker) -> bool {
+        worker.answered.is_some_and(|at| self.now >= at + self.limits.stop_again)
+    }
+
     /// Another worker has room for a task; for a lasting task on a due worker, one that is not due itself.
     fn has_room_elsewhere(&self, from: WorkerKey, task: &TaskRef) -> bool {
         let Some(job) = self.jobs.get(&task.at.job) else { return false };
--- a/components/shard/src/report.rs
+++ b/components/shard/src/report.rs
@@ -93,6 +93,7 @@
             worker.lease_end = 0;
         }
         worker.contact = Contact::Good;
+        worker.answered.get_or_insert(now);
         worker.gone = false;
         worker.clock = Some((report.clock, now));
         worker.holding = false;
--- a/components/shard/src/worker.rs
+++ b/components/shard/src/worker.rs
@@ -120,6 +120,8 @@
     /// The log holds a record of it.
     pub recorded: bool,
     pub contact: Contact,
+    /// When it first answered this owner, which bars all orders of earlier ones.
+    pub answered: Option<Ms>,
     /// Start of its life, as it says.
     pub born: u64,
     /// Highest end seen in this life.
@@ -157,6 +159,7 @@
             listed: true,
             recorded: false,
             contact: Contact::Unknown,
+            answered: None,
             born: 0,
             ends_seen: 0,
             ends_stored: 0,
--- a/components/shard/tests/fleet/losses.rs
+++ b/components/shard/tests/fleet/losses.rs
@@ -2,7 +2,7 @@
 
 use crate::support::{Fleet, LIMITS, job, lasting, step};
 use googletest::prelude::*;
-use shard::{Input, JobState, StepSpec};
+use shard::{How, Input, JobState, RunName, StepSpec};
 
 #[gtest]
 fn a_new_owner_keeps_what_runs() {
@@ -202,6 +202,29 @@
     expect_that!(fleet.stops, is_empty());
 }
 
+#[gtest]
+fn a_new_owner_moves_no_lasting_task_while_a_stop_of_the_old_one_may_go_on() {
+    let mut fleet = Fleet::new(4, 4_000);
+    fleet.submit(lasting("a", 2, 1_000));
+    fleet.run(2_500);
+    let orders: Vec<(String, String)> =
+        fleet.orders.iter().map(|o| (o.worker.clone(), o.name.to_string())).collect();
+    fleet.change_owner();
+    fleet.input(Input::Cordon { worker: orders[1].0.clone(), on: true });
+    fleet.run(200);
+    // The old owner's stop ends only now, as a stop may take that long.
+    assert_that!(fleet.stops, is_empty());
+    let left = fleet.workers.get_mut(&orders[0].0).unwrap();
+    left.running.remove(&orders[0].1);
+    left.end(RunName::parse(&orders[0].1).unwrap(), 1, How::Cut);
+    for _ in 0..600 {
+        let running: usize = fleet.workers.values().map(|w| w.running.len()).sum();
+        assert!(running >= 1, "both tasks are away");
+        fleet.run(10);
+    }
+    expect_that!(fleet.shard.left(&orders[1].0), some(eq(0)));
+}
+
 #[gtest]
 fn emptying_counts_a_task_on_a_silent_worker_as_away() {
     let mut fleet = Fleet::new(4, 4_000);
--- a/components/shard/tests/fleet/support.rs
+++ b/components/shard/tests/fleet/support.rs
@@ -321,7 +321,7 @@
 }
 
 impl FakeWorker {
-    fn end(&mut self, name: RunName, run: u32, how: How) {
+    pub fn end(&mut self, name: RunName, run: u32, how: How) {
         self.ends += 1;
         self.barred.insert(name.to_string(), run);
         self.ended.push(EndRow { number: self.ends, name, run, how, saved: String::new() });
