One table of partitions, one take-over, one sight of a round

The table of partitions was kept for callers only, while each report of limits, each change of the list of workers and four looks a second worked it out anew: all ask the daemon for it now. The owner of a shard and the holder of the duty each fenced and loaded their partition in a loop of their own: one function serves both, with the owner's pause (100 ms; the duty's was 120) and log line, which now begins with "partition:". A round of the duty read the documents twice and worked out spare pools three times; runs left on a machine were asked for in two places. The list of workers was copied before each read to see whether it changes. A role needs no default. No behaviour is meant to change but the pause and the prefix of that line.

--- a/components/relay/src/duty.rs
+++ b/components/relay/src/duty.rs
@@ -11,10 +11,11 @@
 use upkeep::{Machine, MachineState, Next, Outcome, Wave};
 
 use crate::clock::{steady_ms, wall_ms};
-use crate::edge::{Appended, Machines, Ordered, Store};
+use crate::edge::{Machines, Ordered, Store};
 use crate::ledger::{Ledger, Place, Progress};
 use crate::node::Node;
 use crate::pace::Pace;
+use crate::partition;
 use crate::setup::{Setup, Wave as Wish};
 
 /// Pause between two looks at the machines; a move takes a second and more, so this adds little to it.
@@ -57,8 +58,10 @@
 /// What the duty sees in one round.
 struct Sight {
     list: Vec<Machine>,
-    setup: Arc<Setup>,
+    /// Pools whose machines are off.
+    spare: BTreeSet<String>,
     loads: Vec<PoolLoad>,
+    zones_out: Vec<String>,
 }
 
 /// What became of a move.
@@ -101,7 +104,8 @@
                         let held = self.held(&earlier);
                         let list: Vec<Machine> = list.iter().map(|m| hide(m, &held)).collect();
                         let loads = self.loads(&setup, &list, &waves).await;
-                        let sight = Sight { list, setup, loads };
+                        let spare = setup.spares();
+                        let sight = Sight { list, spare, loads, zones_out: wishes.zones_out };
                         pace.refill(steady_ms());
                         self.advance(&mut waves, &mut ledger, &mut pace, &sight).await;
                         self.balance(&mut planner, &waves, &mut ledger, &mut pace, &sight).await;
@@ -146,14 +150,12 @@
         pace: &mut Pace,
         sight: &Sight,
     ) {
-        let Sight { list, setup, loads } = sight;
-        let spare = setup.spares();
-        let zones_out = self.node.wishes().zones_out;
+        let Sight { list, spare, loads, zones_out } = sight;
         let out = list.iter().filter(|m| zones_out.contains(&m.zone)).map(|m| &m.name);
         let busy = waves.open.values().flat_map(Wave::active).chain(out).cloned().collect();
-        let mut wanted = planner.plan(steady_ms(), list, loads, &spare, &busy);
+        let mut wanted = planner.plan(steady_ms(), list, loads, spare, &busy);
         wanted.truncate(pace.left());
-        let emptied = join_all(wanted.into_iter().map(|s| self.emptied(&spare, s))).await;
+        let emptied = join_all(wanted.into_iter().map(|s| self.emptied(spare, s))).await;
         let steps: Vec<Move> = emptied.into_iter().flatten().collect();
         let noted = self.note_orders(ledger, steps.iter().map(|s| s.machine.as_str()).collect()).await;
         if !noted {
@@ -173,13 +175,18 @@
 
     /// The move, if nothing runs on its machine any more; else its worker is used again.
     async fn emptied(&self, spare: &BTreeSet<String>, step: Move) -> Option<Move> {
-        if spare.contains(&step.from) || self.node.empty(&step.from, &step.worker, ASK).await == Some(0) {
+        if self.runs_left(spare, &step.from, &step.worker).await == Some(0) {
             return Some(step);
         }
         self.node.keep(&step.from, &step.worker, ASK).await;
         None
     }
 
+    /// Empties a worker and counts its runs, if that is known; machines of spare pools are off.
+    async fn runs_left(&self, spare: &BTreeSet<String>, pool: &str, worker: &str) -> Option<usize> {
+        if spare.contains(pool) { Some(0) } else { self.node.empty(pool, worker, ASK).await }
+    }
+
     /// Machines that another holder of the duty may have ordered within the lease of such orders.
     fn held(&self, earlier: &BTreeMap<String, u64>) -> BTreeSet<String> {
         let now = wall_ms();
@@ -221,38 +228,29 @@
     }
 
     async fn load(&self) -> Option<(Waves, Ledger)> {
+        let holds = || self.node.holds(self.part, self.epoch);
+        let items = partition::take_over(&*self.store, self.part, self.epoch, holds).await?;
         let mut waves = Waves::default();
         let mut ledger = Ledger::default();
-        loop {
-            if !self.node.holds(self.part, self.epoch) {
-                return None;
+        for (key, value) in items {
+            let text = String::from_utf8_lossy(&value);
+            if key == ORDERS {
+                ledger.parse(&text);
+            } else if let Some(number) = key.strip_prefix("m:").and_then(|n| n.parse().ok()) {
+                waves.stored.insert(number, Progress::parse(&text));
             }
-            let fenced = self.store.append(self.part, self.epoch, 0, &[]).await;
-            if fenced == Ok(Appended::Fenced) {
-                return None;
-            }
-            if let (Ok(Appended::Stored), Ok(items)) = (fenced, self.store.load(self.part).await) {
-                for (key, value) in items {
-                    if key == ORDERS {
-                        ledger.parse(&String::from_utf8_lossy(&value));
-                    }
-                    let Some(number) = key.strip_prefix("m:").and_then(|n| n.parse().ok()) else { continue };
-                    waves.stored.insert(number, Progress::parse(&String::from_utf8_lossy(&value)));
-                }
-                return Some((waves, ledger));
-            }
-            tokio::time::sleep(EVERY).await;
         }
+        Some((waves, ledger))
     }
 
     async fn advance(&self, waves: &mut Waves, ledger: &mut Ledger, pace: &mut Pace, sight: &Sight) {
-        let Sight { list, setup, loads } = sight;
-        let idle = idle(list, setup, loads);
+        let list = &sight.list;
+        let idle = idle(sight);
         let numbers: Vec<u64> = waves.open.keys().copied().collect();
         for number in numbers {
             let Some(wave) = waves.open.get_mut(&number) else { continue };
             wave.see(steady_ms(), list);
-            let left = self.left(wave, list, setup).await;
+            let left = self.left(wave, sight).await;
             if !self.node.holds(self.part, self.epoch) {
                 return;
             }
@@ -277,17 +275,12 @@
     }
 
     /// Runs left on the machines that are being emptied.
-    async fn left(&self, wave: &Wave, list: &[Machine], setup: &Setup) -> BTreeMap<String, usize> {
-        let spare = setup.spares();
+    async fn left(&self, wave: &Wave, sight: &Sight) -> BTreeMap<String, usize> {
         let emptying: BTreeSet<&String> = wave.emptying().collect();
-        let machines = list.iter().filter(|m| emptying.contains(&m.name));
-        let counts = machines.map(|machine| {
-            let off = spare.contains(&machine.pool);
-            async move {
-                let count =
-                    if off { Some(0) } else { self.node.empty(&machine.pool, &machine.worker, ASK).await };
-                Some((machine.name.clone(), count?))
-            }
+        let machines = sight.list.iter().filter(|m| emptying.contains(&m.name));
+        let counts = machines.map(|m| async move {
+            let count = self.runs_left(&sight.spare, &m.pool, &m.worker).await?;
+            Some((m.name.clone(), count))
         });
         join_all(counts).await.into_iter().flatten().collect()
     }
@@ -361,8 +354,8 @@
 }
 
 /// Machines on which nothing runs, in pools where nothing waits.
-fn idle(list: &[Machine], setup: &Setup, loads: &[PoolLoad]) -> BTreeSet<String> {
-    let spare = setup.spares();
+fn idle(sight: &Sight) -> BTreeSet<String> {
+    let Sight { list, spare, loads, .. } = sight;
     let idle =
         |m: &Machine| loads.iter().any(|l| l.name == m.pool && l.wanted == 0 && l.idle.contains(&m.worker));
     list.iter().filter(|m| spare.contains(&m.pool) || idle(m)).map(|m| m.name.clone()).collect()
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -13,6 +13,7 @@
 mod node;
 mod owner;
 mod pace;
+mod partition;
 mod reply;
 mod roster;
 mod setup;
--- a/components/relay/src/node.rs
+++ b/components/relay/src/node.rs
@@ -23,6 +23,12 @@
 use crate::standby::{self, Role};
 use crate::watch::Wishes;
 
+mod documents;
+mod duties;
+mod shares;
+
+pub(crate) use shares::EPOCHS;
+
 /// Pause between two tries to reach a shard's owner.
 const TRY_AGAIN: Duration = Duration::from_millis(60);
 /// Time for which an owner that cannot be reached is looked for, before the call is refused. A change of owner
@@ -33,12 +39,6 @@
 /// Time for one try at another daemon, within a caller's time.
 const ONE_TRY: Duration = Duration::from_millis(700);
 
-mod documents;
-mod duties;
-mod shares;
-
-pub(crate) use shares::EPOCHS;
-
 /// What a daemon is made of.
 #[derive(Debug)]
 pub struct Parts {
@@ -104,15 +104,11 @@
     leave_by: Mutex<Option<Instant>>,
     duty: Mutex<Option<(u64, tokio::task::JoinHandle<()>)>>,
     broker: Mutex<(u64, Broker)>,
-    layout: Mutex<Layout>,
+    layout: Mutex<Option<(u64, Layout)>>,
 }
 
 /// Partition of each service in a version of the configuration.
-#[derive(Debug, Default)]
-struct Layout {
-    version: u64,
-    table: HashMap<String, u32>,
-}
+type Layout = Arc<HashMap<String, u32>>;
 
 impl Node {
     /// Starts all parts of a daemon.
@@ -296,14 +292,22 @@
         self.parts.parts.saturating_sub(1)
     }
 
-    fn part(&self, service: &str) -> Option<u32> {
-        let wishes = self.wishes.borrow();
-        let setup = wishes.setup.as_ref()?;
-        let mut layout = self.layout.lock();
-        if layout.version != setup.version {
-            *layout = Layout { version: setup.version, table: setup.parts(self.duty_part()) };
+    /// Partition of each service, worked out once for each version of the configuration.
+    pub(crate) fn layout(&self) -> Option<Layout> {
+        let setup = self.setup()?;
+        let mut slot = self.layout.lock();
+        if let Some((version, layout)) = &*slot
+            && *version == setup.version
+        {
+            return Some(Arc::clone(layout));
         }
-        layout.table.get(service).copied()
+        let layout = Arc::new(setup.parts(self.duty_part()));
+        *slot = Some((setup.version, Arc::clone(&layout)));
+        Some(layout)
+    }
+
+    fn part(&self, service: &str) -> Option<u32> {
+        self.layout()?.get(service).copied()
     }
 }
 
--- a/components/relay/src/node/duties.rs
+++ b/components/relay/src/node/duties.rs
@@ -23,7 +23,9 @@
     /// Answers a report of a shard, while this daemon has the duty.
     pub(super) fn divide(&self, part: u32, report: RightsReport) -> Reply {
         let epoch = self.duty.lock().as_ref().map(|(e, _)| *e);
-        let (Some(epoch), Some(setup)) = (epoch, self.setup()) else { return Reply::of(Kind::NotOwner) };
+        let (Some(epoch), Some(setup), Some(layout)) = (epoch, self.setup(), self.layout()) else {
+            return Reply::of(Kind::NotOwner);
+        };
         if !self.holds(part, epoch) {
             return Reply::of(Kind::NotOwner);
         }
@@ -31,7 +33,7 @@
         if slot.0 != epoch {
             *slot = (epoch, Broker::default());
         }
-        let shards = setup.parts(self.duty_part()).into_values().collect();
+        let shards = layout.values().copied().collect();
         slot.1.configure(setup.limits(), shards);
         slot.1.report(&report.into()).map_or(Reply::of(Kind::NotOwner), Reply::rights)
     }
--- a/components/relay/src/node/shares.rs
+++ b/components/relay/src/node/shares.rs
@@ -1,5 +1,6 @@
 //! Which shards this daemon owns, and who owns the others.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -37,8 +38,8 @@
         if self.draining.load(Ordering::Relaxed) {
             return;
         }
-        let Some(setup) = self.setup() else { return };
-        let active: Vec<u32> = setup.parts(self.duty_part()).into_values().collect();
+        let Some(layout) = self.layout() else { return };
+        let active: BTreeSet<u32> = layout.values().copied().collect();
         self.owned.lock().retain(|_, owner| !owner.ended());
         if !standing.sure() {
             return;
@@ -96,7 +97,6 @@
             store: Arc::clone(&self.parts.store),
             orders: Arc::clone(&self.parts.orders),
             limits: self.parts.limits,
-            parts: self.duty_part(),
             standing: self.standing.clone(),
             roster: self.roster.clone(),
             wishes: self.wishes.clone(),
--- a/components/relay/src/owner.rs
+++ b/components/relay/src/owner.rs
@@ -13,6 +13,7 @@
 use crate::edge::{Appended, Look, Looked, Orders, Store};
 use crate::member::Standing;
 use crate::node::{EPOCHS, Node};
+use crate::partition;
 use crate::reply::{Kind, LoadAsk, Reply, Want};
 use crate::roster::Roster;
 use crate::watch::Wishes;
@@ -23,8 +24,6 @@
 const GATHER: Duration = Duration::from_millis(3);
 /// The same while so many steps wait that each pass costs more.
 const GATHER_CROWDED: Duration = Duration::from_millis(12);
-/// Pause before an append is sent again.
-const APPEND_AGAIN: Duration = Duration::from_millis(100);
 /// Tries of an append whose outcome is certain each time, before new jobs of the batch are refused.
 const BUSY_TRIES: u32 = 2;
 /// Pause between reports to the broker of limits while a start waits for one.
@@ -66,8 +65,6 @@
     pub orders: Arc<dyn Orders>,
     /// Bounds.
     pub limits: Limits,
-    /// Partitions.
-    pub parts: u32,
     /// Ownership.
     pub standing: watch::Receiver<Standing>,
     /// Platform's list of workers.
@@ -114,37 +111,12 @@
 
 /// Fences earlier owners and loads the shard.
 async fn take_over(part: u32, epoch: u64, around: &Surroundings) -> Option<Shard> {
-    loop {
-        if !holds(&around.standing, part) {
-            return None;
-        }
-        match around.store.append(part, epoch, 0, &[]).await {
-            Ok(Appended::Stored | Appended::Sequence(_)) => break,
-            Ok(Appended::Fenced) => return None,
-            Ok(Appended::Busy) | Err(_) => tokio::time::sleep(APPEND_AGAIN).await,
-        }
-    }
-    loop {
-        if !holds(&around.standing, part) {
-            return None;
-        }
-        match around.store.load(part).await {
-            Ok(items) => {
-                let mut shard = Shard::new(around.limits, epoch, steady_ms(), wall_ms());
-                shard.load(items.iter().map(|(k, v)| (k.as_str(), v.as_slice())));
-                tracing::info!(part, epoch, records = items.len(), "owner: shard loaded");
-                return Some(shard);
-            }
-            Err(error) => {
-                tracing::warn!(part, %error, "owner: shard not loaded");
-                tokio::time::sleep(APPEND_AGAIN).await;
-            }
-        }
-    }
-}
-
-fn holds(standing: &watch::Receiver<Standing>, part: u32) -> bool {
-    standing.borrow().share.parts.contains(&part)
+    let holds = || around.standing.borrow().share.parts.contains(&part);
+    let items = partition::take_over(&*around.store, part, epoch, holds).await?;
+    let mut shard = Shard::new(around.limits, epoch, steady_ms(), wall_ms());
+    shard.load(items.iter().map(|(k, v)| (k.as_str(), v.as_slice())));
+    tracing::info!(part, epoch, records = items.len(), "owner: shard loaded");
+    Some(shard)
 }
 
 struct Driver {
@@ -340,10 +312,8 @@
 
     fn learn_roster(&mut self) {
         let roster = self.around.roster.borrow_and_update().clone();
-        let setup = self.around.wishes.borrow().setup.clone();
-        let (Some(roster), Some(setup)) = (roster, setup) else { return };
-        let parts = setup.parts(self.around.parts);
-        let mine = |w: &&WorkerInfo| parts.get(&w.service) == Some(&self.part);
+        let (Some(roster), Some(layout)) = (roster, self.around.node.layout()) else { return };
+        let mine = |w: &&WorkerInfo| layout.get(&w.service) == Some(&self.part);
         let list = roster.values().filter(mine).cloned().collect();
         self.input(Input::Roster(list));
     }
@@ -449,7 +419,7 @@
                         }
                     }
                 }
-                tokio::time::sleep(APPEND_AGAIN).await;
+                tokio::time::sleep(partition::AGAIN).await;
                 if letters.is_closed() {
                     return;
                 }
--- /dev/null
+++ b/components/relay/src/partition.rs
@@ -0,0 +1,39 @@
+//! Taking a partition over from earlier owners.
+
+use std::time::Duration;
+
+use crate::edge::{Appended, Items, Store};
+
+/// Pause before a call to the store is made again.
+pub const AGAIN: Duration = Duration::from_millis(100);
+
+/// Fences earlier owners and reads the partition's newest records; `None` once it is not ours.
+pub async fn take_over(
+    store: &dyn Store,
+    part: u32,
+    epoch: u64,
+    holds: impl Fn() -> bool + Send,
+) -> Option<Items> {
+    loop {
+        if !holds() {
+            return None;
+        }
+        match store.append(part, epoch, 0, &[]).await {
+            Ok(Appended::Stored | Appended::Sequence(_)) => break,
+            Ok(Appended::Fenced) => return None,
+            Ok(Appended::Busy) | Err(_) => tokio::time::sleep(AGAIN).await,
+        }
+    }
+    loop {
+        if !holds() {
+            return None;
+        }
+        match store.load(part).await {
+            Ok(items) => return Some(items),
+            Err(error) => {
+                tracing::warn!(part, %error, "partition: not loaded");
+                tokio::time::sleep(AGAIN).await;
+            }
+        }
+    }
+}
--- a/components/relay/src/roster.rs
+++ b/components/relay/src/roster.rs
@@ -40,7 +40,7 @@
                     tracing::info!("roster: list is back");
                 }
                 down = false;
-                let before = table.clone();
+                let mut changed = false;
                 if changes.whole {
                     let listed: Vec<&String> = changes.items.iter().map(|(k, _)| k).collect();
                     let now = steady_ms();
@@ -52,6 +52,7 @@
                     match entry {
                         Some(info) => {
                             leaving.remove(&id);
+                            changed |= table.get(&id) != Some(&info);
                             table.insert(id, info);
                         }
                         None => {
@@ -64,11 +65,11 @@
                     let stays = now < *since + GRACE_MS;
                     if !stays {
                         tracing::info!(worker = %id, "roster: worker is gone");
-                        table.remove(id);
+                        changed |= table.remove(id).is_some();
                     }
                     stays
                 });
-                if roster.borrow().is_none() || table != before {
+                if changed || roster.borrow().is_none() {
                     roster.send_replace(Some(Arc::new(table.clone())));
                 }
                 next = Some(changes.next);
--- a/components/relay/src/standby.rs
+++ b/components/relay/src/standby.rs
@@ -12,10 +12,9 @@
 const MARK: &str = "/standby";
 
 /// What a daemon asks of the group.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Role {
     /// A part of the shards.
-    #[default]
     Owner,
     /// To hear of changes only.
     Standby,
