--- a/components/shard/tests/fleet/losses.rs
+++ b/components/shard/tests/fleet/losses.rs
@@ -147,6 +147,15 @@
     expect_that!(fleet.orders.len(), eq(1));
 }
 
+/// Lets six seconds pass, in which never all tasks are away.
+fn one_stays_at_work(fleet: &mut Fleet) {
+    for _ in 0..=600 {
+        let running: usize = fleet.workers.values().map(|w| w.running.len()).sum();
+        assert!(running >= 1, "both tasks are away");
+        fleet.run(10);
+    }
+}
+
 #[gtest]
 fn emptying_a_worker_moves_lasting_tasks_one_at_a_time() {
     let mut fleet = Fleet::new(4, 4_000);
@@ -156,11 +165,7 @@
     for worker in &both {
         fleet.input(Input::Cordon { worker: worker.clone(), on: true });
     }
-    for _ in 0..600 {
-        fleet.run(10);
-        let running: usize = fleet.workers.values().map(|w| w.running.len()).sum();
-        assert!(running >= 1, "both tasks are away");
-    }
+    one_stays_at_work(&mut fleet);
     for worker in &both {
         expect_that!(fleet.shard.left(worker), some(eq(0)));
     }
@@ -174,11 +179,7 @@
     let both: Vec<String> = fleet.orders.iter().map(|o| o.worker.clone()).collect();
     let due = |workers: &[String]| Input::Due { service: "quotes".into(), workers: workers.to_vec() };
     fleet.input(due(&both));
-    for _ in 0..600 {
-        fleet.run(10);
-        let running: usize = fleet.workers.values().map(|w| w.running.len()).sum();
-        assert!(running >= 1, "both tasks are away");
-    }
+    one_stays_at_work(&mut fleet);
     for worker in &both {
         expect_that!(fleet.shard.left(worker), some(eq(0)));
     }
@@ -217,11 +218,7 @@
     let left = fleet.workers.get_mut(&orders[0].0).unwrap();
     left.running.remove(&orders[0].1);
     left.end(RunName::parse(&orders[0].1).unwrap(), 1, How::Cut);
-    for _ in 0..600 {
-        let running: usize = fleet.workers.values().map(|w| w.running.len()).sum();
-        assert!(running >= 1, "both tasks are away");
-        fleet.run(10);
-    }
+    one_stays_at_work(&mut fleet);
     expect_that!(fleet.shard.left(&orders[1].0), some(eq(0)));
 }
 
