--- a/components/edge/src/http_client.rs
+++ b/components/edge/src/http_client.rs
@@ -1,28 +1,25 @@
 //! HTTP client with a timeout and a maximum response size for every call.
 //!
-//! Connections are pooled for each target. A call that times out closes its connection and discards the pool
-//! of its target, so that idle connections which no longer respond are not reused.
+//! Connections are kept for each target. A call that times out closes its connection and the idle ones of its
+//! target, so that connections which no longer respond are not reused. A call that was still waiting for a
+//! connection when its time was over was not sent, and its fault says so.
 
 use std::collections::HashMap;
-use std::sync::Mutex;
-use std::time::Duration;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
-use http::{HeaderMap, Method, Request, StatusCode};
+use http::{HeaderMap, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
+use hyper::body::Incoming;
+use tokio::sync::Semaphore;
 
 use crate::Fault;
+use crate::connection::{Connection, IDLE_TIMEOUT, SendError, Target};
 
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 const MAX_IDLE_PER_TARGET: usize = 64;
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 
-type Pool = Client<HttpConnector, Full<Bytes>>;
-
 /// An HTTP request, with its target and timeout.
 #[derive(Debug)]
 pub struct Fetch<'a> {
@@ -87,16 +84,24 @@
     }
 }
 
-/// HTTP client with a connection pool for each target.
+/// HTTP client that keeps connections for each target.
 #[derive(Debug)]
 pub struct Fetcher {
-    pools: Mutex<HashMap<String, Pool>>,
+    targets: Mutex<Targets>,
+    max_calls: usize,
     max_idle: usize,
 }
 
+#[derive(Debug)]
+struct Targets {
+    by_addr: HashMap<String, Arc<Target>>,
+    /// When expired connections were last closed.
+    expired_at: Instant,
+}
+
 impl Default for Fetcher {
     fn default() -> Self {
-        Self { pools: Mutex::default(), max_idle: MAX_IDLE_PER_TARGET }
+        Self::with_limits(Semaphore::MAX_PERMITS, MAX_IDLE_PER_TARGET)
     }
 }
 
@@ -104,7 +109,19 @@
     /// A client that opens a new connection for every call.
     #[must_use]
     pub fn unpooled() -> Self {
-        Self { pools: Mutex::default(), max_idle: 0 }
+        Self::with_limits(Semaphore::MAX_PERMITS, 0)
+    }
+
+    /// A client with at most `max_calls` calls in flight, and as many connections, for each target. Further
+    /// calls wait, within their timeouts.
+    #[must_use]
+    pub fn bounded(max_calls: usize) -> Self {
+        Self::with_limits(max_calls, max_calls)
+    }
+
+    fn with_limits(max_calls: usize, max_idle: usize) -> Self {
+        let targets = Targets { by_addr: HashMap::new(), expired_at: Instant::now() };
+        Self { targets: Mutex::new(targets), max_calls, max_idle }
     }
 
     /// Sends one request and reads the whole response.
@@ -112,42 +129,52 @@
     /// # Errors
     /// [`Fault`] with `NotRun` if no byte was sent, else with `MayHaveRun`.
     pub async fn fetch(&self, call: Fetch<'_>) -> Result<Fetched, Fault> {
-        let pool = self.pool(call.addr);
+        let target = self.target(call.addr);
         let request = build_request(&call)?;
+        let started = Instant::now();
+        let admitted = tokio::time::timeout(call.timeout, async {
+            let permit = target.admit().await?;
+            Ok((permit, target.connection(call.addr).await?))
+        });
+        let (_permit, connection) = match admitted.await {
+            Ok(admitted) => admitted?,
+            Err(_) => {
+                target.close_idle();
+                return Err(Fault::not_run(format!("not sent to {} in {:?}", call.addr, call.timeout)));
+            }
+        };
         let fetched = match call.scope {
-            TimeoutScope::Total => match tokio::time::timeout(call.timeout, send(&pool, request, None)).await
-            {
-                Ok(response) => response,
-                Err(_) => Err(FetchError::TimedOut),
-            },
-            TimeoutScope::Inactivity => send(&pool, request, Some(call.timeout)).await,
+            TimeoutScope::Total => {
+                let left = call.timeout.saturating_sub(started.elapsed());
+                let exchange = exchange(&target, connection, &call, request, None);
+                tokio::time::timeout(left, exchange).await.unwrap_or(Err(FetchError::TimedOut))
+            }
+            TimeoutScope::Inactivity => {
+                exchange(&target, connection, &call, request, Some(call.timeout)).await
+            }
         };
         fetched.map_err(|error| match error {
             FetchError::Fault(fault) => fault,
             FetchError::TimedOut => {
-                self.discard_pool(call.addr);
+                target.close_idle();
                 Fault::may_have_run(format!("no answer from {} in {:?}", call.addr, call.timeout))
             }
         })
     }
 
-    /// Discards the pooled connections to a target.
-    pub fn discard_pool(&self, addr: &str) {
-        self.lock().remove(addr);
-    }
-
-    fn pool(&self, addr: &str) -> Pool {
-        let mut pools = self.lock();
-        if let Some(pool) = pools.get(addr) {
-            return pool.clone();
+    fn target(&self, addr: &str) -> Arc<Target> {
+        let mut targets = self.targets.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        if targets.expired_at.elapsed() >= IDLE_TIMEOUT {
+            targets.expired_at = Instant::now();
+            // A target in use is also held by its calls.
+            targets.by_addr.retain(|_, target| target.expire() || Arc::strong_count(target) > 1);
         }
-        let pool = new_pool(self.max_idle);
-        pools.insert(addr.to_owned(), pool.clone());
-        pool
-    }
-
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<String, Pool>> {
-        self.pools.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+        if let Some(target) = targets.by_addr.get(addr) {
+            return Arc::clone(target);
+        }
+        let target = Arc::new(Target::new(self.max_calls, self.max_idle));
+        targets.by_addr.insert(addr.to_owned(), Arc::clone(&target));
+        target
     }
 }
 
@@ -159,13 +186,33 @@
 
 /// Sends a request and reads the whole response. The timeout covers the wait for the head and the wait for
 /// each frame of the body.
-async fn send(
-    pool: &Pool,
+async fn exchange(
+    target: &Target,
+    mut connection: Connection,
+    call: &Fetch<'_>,
     request: Request<Full<Bytes>>,
     inactivity_timeout: Option<Duration>,
 ) -> Result<Fetched, FetchError> {
-    let response = with_timeout(inactivity_timeout, pool.request(request)).await?;
-    let response = response.map_err(|e| FetchError::Fault(classify(&e)))?;
+    let response = match with_timeout(inactivity_timeout, connection.send(request)).await? {
+        Err(SendError::Stale(request)) => {
+            connection = target.new_connection(call.addr).await.map_err(FetchError::Fault)?;
+            with_timeout(inactivity_timeout, connection.send(*request)).await?
+        }
+        response => response,
+    };
+    let response = response.map_err(|error| match error {
+        SendError::Fault(fault) => FetchError::Fault(fault),
+        SendError::Stale(_) => FetchError::Fault(Fault::not_run("connection closed before the request")),
+    })?;
+    let fetched = read_response(response, inactivity_timeout).await?;
+    target.put_back(connection);
+    Ok(fetched)
+}
+
+async fn read_response(
+    response: Response<Incoming>,
+    inactivity_timeout: Option<Duration>,
+) -> Result<Fetched, FetchError> {
     let (parts, body) = response.into_parts();
     let mut body = Limited::new(body, MAX_RESPONSE_BYTES);
     let mut bytes = BytesMut::new();
@@ -185,32 +232,13 @@
     }
 }
 
-fn new_pool(max_idle: usize) -> Pool {
-    let mut connector = HttpConnector::new();
-    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-    connector.set_nodelay(true);
-    Client::builder(TokioExecutor::new())
-        .pool_idle_timeout(IDLE_TIMEOUT)
-        .pool_max_idle_per_host(max_idle)
-        .retry_canceled_requests(false)
-        .build(connector)
-}
-
 fn build_request(call: &Fetch<'_>) -> Result<Request<Full<Bytes>>, Fault> {
     let mut request = Request::builder()
         .method(&call.method)
-        .uri(format!("http://{}{}", call.addr, call.path))
+        .uri(call.path)
+        .header(http::header::HOST, call.addr)
         .body(Full::new(call.body.clone()))
         .map_err(|e| Fault::not_run(format!("bad request to {}: {e}", call.addr)))?;
     request.headers_mut().extend(call.headers.clone());
     Ok(request)
 }
-
-/// Turns a transport error into a fault; a failed connect or a canceled request was never sent.
-fn classify(error: &hyper_util::client::legacy::Error) -> Fault {
-    let source = std::error::Error::source(error);
-    let canceled =
-        source.and_then(|s| s.downcast_ref::<hyper::Error>()).is_some_and(hyper::Error::is_canceled);
-    let message = source.map_or_else(|| error.to_string(), |s| format!("{error}: {s}"));
-    if error.is_connect() || canceled { Fault::not_run(message) } else { Fault::may_have_run(message) }
-}
--- a/components/edge/src/lib.rs
+++ b/components/edge/src/lib.rs
@@ -4,6 +4,7 @@
 //! implementation in this crate; the other crates depend only on the traits. Every failed call carries a
 //! [`Verdict`], so that callers know whether the call may have taken effect.
 
+mod connection;
 mod host_list;
 mod http_client;
 mod log;
