Machines follow the arrivals at a service

Cause: a pool was short only once tasks waited, and a machine helps 1.5 s after its order. The rate of a queue's turn rises over about 2 s, so the machines came when half of the turn was over; quotes, whose objective is about 2.7 s, were late.

Change: shard::arrivals forecasts the work that arrives once a move is over, from the rate of the last 600 ms and its growth as far as that exceeds the scatter of random arrivals. The planner orders machines for it, and a pool keeps what it expects to need.

--- a/components/capacity/src/lib.rs
+++ b/components/capacity/src/lib.rs
@@ -11,6 +11,17 @@
 
 use maintenance::{Machine, MachineState};
 
+/// Share of a pool's CPU that tasks can fill, in percent; the rest is too small for another task.
+const FILL_PERCENT: u64 = 85;
+
+/// Time without shortage after which a pool can give machines to other pools.
+const LEND_DELAY_MS: Ms = 500;
+/// Share of the mean size of all pools, in percent, that each pool keeps: capacity for long-running tasks,
+/// for the first jobs of a sudden burst, and for a change of coordinator while such a burst begins.
+const RETAIN_PERCENT: usize = 60;
+/// Share of its capacity, in percent, that a pool keeps unused when it gives machines away.
+const HEADROOM_PERCENT: u64 = 50;
+
 /// Milliseconds on a monotonic clock.
 pub type Ms = u64;
 
@@ -23,6 +34,8 @@
     pub pending_cpu: u64,
     /// CPU in use.
     pub used_cpu: u64,
+    /// CPU that running and arriving work is expected to need once a machine ordered now has arrived.
+    pub expected_cpu: u64,
     /// CPU capacity of the usable workers.
     pub cpu_capacity: u64,
     /// Ids of the workers on which nothing runs.
@@ -44,6 +57,20 @@
     pub headroom_percent: u64,
 }
 
+impl PlannerConfig {
+    /// Configuration for moves that take `move_time` milliseconds.
+    #[must_use]
+    pub const fn with_move_time(move_time: Ms) -> Self {
+        Self {
+            move_time,
+            lend_delay: LEND_DELAY_MS,
+            release_delay: move_time * 2,
+            retain_percent: RETAIN_PERCENT,
+            headroom_percent: HEADROOM_PERCENT,
+        }
+    }
+}
+
 /// A move of a machine to another pool.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Move {
@@ -137,7 +164,8 @@
         let moving = machines.iter().filter(|m| m.pool == load.name && m.state == MachineState::Moving);
         let ordered = self.in_flight.values().filter(|(to, _)| *to == load.name).count() as u64;
         let arriving = moving.map(|m| m.cpu).sum::<u64>() + ordered * largest;
-        load.pending_cpu.saturating_sub(load.cpu_capacity.saturating_sub(load.used_cpu) + arriving)
+        let needed = (load.used_cpu + load.pending_cpu).max(load.expected_cpu * 100 / FILL_PERCENT);
+        needed.saturating_sub(load.cpu_capacity + arriving)
     }
 
     /// Machines that may leave their pools; spare ones come first, as no service loses capacity by them.
@@ -173,7 +201,8 @@
             let may_lend = self.shortages.get(&load.name).is_some_and(|t| now >= *t + self.config.lend_delay);
             let Some((size, capacity)) = remaining.get_mut(load.name.as_str()) else { continue };
             let reduced = capacity.saturating_sub(machine.cpu);
-            let has_headroom = reduced * (100 - self.config.headroom_percent) >= load.used_cpu * 100;
+            let has_headroom = reduced * (100 - self.config.headroom_percent) >= load.used_cpu * 100
+                && reduced * FILL_PERCENT >= load.expected_cpu * 100;
             if may_lend && has_headroom && *size > min_size && load.idle_workers.contains(&machine.worker) {
                 *size -= 1;
                 *capacity = reduced;
--- a/components/capacity/tests/moves.rs
+++ b/components/capacity/tests/moves.rs
@@ -38,6 +38,7 @@
         name: name.into(),
         pending_cpu,
         used_cpu,
+        expected_cpu: 0,
         cpu_capacity: 4 * MACHINE_CPU,
         idle_workers: idle_workers.iter().map(|n| format!("w{n}")).collect(),
     }
--- a/components/relay/src/coordinator.rs
+++ b/components/relay/src/coordinator.rs
@@ -24,17 +24,12 @@
 
 /// Pause between two rounds; a move takes at least a second, so this adds little to it.
 const ROUND_INTERVAL: Duration = Duration::from_millis(120);
-/// Milliseconds without waiting tasks after which a pool can give machines to other pools.
-const LEND_DELAY_MS: u64 = 500;
-/// Share of the mean size of all pools, in percent, that each pool keeps: capacity for long-running tasks,
-/// for a sudden burst of tasks, and for a change of coordinator while an occurrence of a repeated job begins.
-const RETAIN_PERCENT: usize = 60;
-/// Share of its capacity, in percent, that a pool keeps unused when it gives machines away.
-const HEADROOM_PERCENT: u64 = 50;
 /// Key of the record with recent orders; `m:` and a wave's number is the key of its progress.
 const ORDERS_KEY: &str = "o";
 /// Largest difference between the wall clocks of two entry hosts in milliseconds.
 const CLOCK_SKEW_MS: u64 = 500;
+/// Time between the end of a machine's move and its first task: the worker list and the first poll.
+const JOIN_DELAY_MS: u64 = 300;
 /// Time limit for a request to a shard's owner.
 const OWNER_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -97,7 +92,7 @@
     pub async fn run(self) {
         let Some((mut waves, mut log)) = self.take_over().await else { return };
         let inherited = log.orders.clone();
-        let mut planner = Planner::new(self.planner_config());
+        let mut planner = Planner::new(PlannerConfig::with_move_time(self.move_ms));
         let mut limiter = RateLimiter::new(self.orders_per_s, monotonic_ms());
         tracing::info!(epoch = self.epoch, "duty: coordinator started");
         while self.node.holds_partition(self.partition, self.epoch) {
@@ -132,22 +127,13 @@
         LogTarget { store: &*self.store, partition: self.partition, epoch: self.epoch }
     }
 
-    const fn planner_config(&self) -> PlannerConfig {
-        PlannerConfig {
-            move_time: self.move_ms,
-            lend_delay: LEND_DELAY_MS,
-            release_delay: self.move_ms * 2,
-            retain_percent: RETAIN_PERCENT,
-            headroom_percent: HEADROOM_PERCENT,
-        }
-    }
-
     /// Reads the load of all pools but spare ones from the owners of their shards.
     async fn pool_loads(&self, config: &Configuration, machines: &[Machine], waves: &Waves) -> Vec<PoolLoad> {
         let pending: BTreeSet<&String> = waves.open.values().flat_map(Wave::remaining).collect();
         let requests = config.pools.iter().filter(|p| !p.spare).map(|pool| {
             let due = machines.iter().filter(|m| m.pool == pool.name && pending.contains(&m.name));
-            self.node.service_load(&pool.name, due.map(|m| m.worker.clone()).collect(), OWNER_TIMEOUT)
+            let due = due.map(|m| m.worker.clone()).collect();
+            self.node.service_load(&pool.name, due, self.move_ms + JOIN_DELAY_MS, OWNER_TIMEOUT)
         });
         join_all(requests).await.into_iter().flatten().collect()
     }
--- a/components/relay/src/message.rs
+++ b/components/relay/src/message.rs
@@ -62,6 +62,9 @@
     /// Ids of its workers whose machines still await maintenance.
     #[prost(string, repeated, tag = "2")]
     pub due_workers: Vec<String>,
+    /// Milliseconds until a machine that is ordered now can help.
+    #[prost(uint64, tag = "3")]
+    pub lead_ms: u64,
 }
 
 /// Amounts of resources.
@@ -160,11 +163,15 @@
     /// Ids of workers without runs.
     #[prost(string, repeated, tag = "4")]
     pub idle: Vec<String>,
+    /// Capacity that running and arriving work is expected to need after the lead.
+    #[prost(uint64, tag = "5")]
+    pub expected: u64,
 }
 
 impl From<ServiceLoad> for LoadReply {
     fn from(load: ServiceLoad) -> Self {
-        Self { demand: load.demand, used: load.used, capacity: load.capacity, idle: load.idle }
+        let ServiceLoad { demand, used, capacity, expected, idle } = load;
+        Self { demand, used, capacity, idle, expected }
     }
 }
 
--- a/components/relay/src/node/coordination.rs
+++ b/components/relay/src/node/coordination.rs
@@ -40,14 +40,21 @@
     }
 
     /// Requests the load of a service's workers, and tells the shard which of them are due for maintenance.
-    pub async fn service_load(&self, service: &str, due: Vec<String>, timeout: Duration) -> Option<PoolLoad> {
-        let body = RequestBody::Load(LoadRequest { service: service.to_owned(), due_workers: due });
+    pub async fn service_load(
+        &self,
+        service: &str,
+        due_workers: Vec<String>,
+        lead_ms: u64,
+        timeout: Duration,
+    ) -> Option<PoolLoad> {
+        let body = RequestBody::Load(LoadRequest { service: service.to_owned(), due_workers, lead_ms });
         let load = self.try_owner(self.partition_of(service)?, body, timeout).await.ok()?.load?;
-        let LoadReply { demand, used, capacity, idle } = load;
+        let LoadReply { demand, used, capacity, idle, expected } = load;
         Some(PoolLoad {
             name: service.to_owned(),
             pending_cpu: demand,
             used_cpu: used,
+            expected_cpu: expected,
             cpu_capacity: capacity,
             idle_workers: idle,
         })
--- a/components/relay/src/owner.rs
+++ b/components/relay/src/owner.rs
@@ -260,9 +260,9 @@
             }
             // Node::handle_locally answers these.
             RequestBody::Quota(_) | RequestBody::Documents(_) => Reply::of(ReplyKind::Unspecified),
-            RequestBody::Load(LoadRequest { service, due_workers }) => {
+            RequestBody::Load(LoadRequest { service, due_workers, lead_ms }) => {
                 self.apply(Input::MaintenanceDue { service: service.clone(), workers: due_workers });
-                let load = Some(self.shard.service_load(&service).into());
+                let load = Some(self.shard.service_load(&service, lead_ms).into());
                 Reply { load, ..Reply::of(ReplyKind::Load) }
             }
             RequestBody::UncordonWorker(worker) => {
--- a/components/shard/src/admission.rs
+++ b/components/shard/src/admission.rs
@@ -81,10 +81,14 @@
     /// Adds an occurrence and makes its first steps ready.
     pub(crate) fn activate_occurrence(&mut self, key: JobKey, number: u32) {
         let now = self.now;
-        let Some(job) = self.jobs.get_mut(&key) else { return };
+        let Some(job) = self.jobs.get(&key) else { return };
         if job.occurrence(number).is_some() || job.completed.contains(&number) {
             return;
         }
+        let work = self.expected_work(&job.spec);
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        let arrived = if job.spec.repeat.is_some() { now } else { job.queued_since };
+        self.arrivals.entry(job.spec.service.clone()).or_default().record(arrived, work);
         let occurrence = Occurrence::new(&job.spec, number, now);
         let steps = u32::try_from(occurrence.steps.len()).unwrap_or(0);
         let ready: Vec<u32> = (0..steps).filter(|&s| occurrence.dependencies_met(&job.spec, s)).collect();
--- a/components/shard/src/lib.rs
+++ b/components/shard/src/lib.rs
@@ -11,6 +11,7 @@
 //! all other work goes on.
 
 mod admission;
+mod arrivals;
 mod batch;
 mod cancel;
 mod completion;
--- a/components/shard/src/rank.rs
+++ b/components/shard/src/rank.rs
@@ -2,6 +2,7 @@
 
 use crate::Ms;
 use crate::job::{Job, Occurrence, Step, StepRef, TaskRef};
+use crate::model::JobSpec;
 use crate::state::Shard;
 
 /// Multiple of its objective up to which a late job still has value.
@@ -77,6 +78,14 @@
         self.average_durations.get(queue).map_or(estimate, |t| (t * t * estimate).cbrt())
     }
 
+    /// Expected work of a job's tasks that end, in thousandths of a core times milliseconds.
+    pub(crate) fn expected_work(&self, spec: &JobSpec) -> f64 {
+        let ending = spec.steps.iter().filter(|s| !s.long_running && !s.best_effort);
+        ending
+            .map(|s| to_float(s.cpu) * f64::from(s.count) * self.expected_duration(&spec.queue, s.estimate))
+            .sum()
+    }
+
     /// Adds the duration of a completed task to its queue's average.
     pub(crate) fn record_duration(&mut self, task: &TaskRef, planned_at: Ms) {
         let Some(job) = self.jobs.get(&task.step_ref.job) else { return };
@@ -89,11 +98,11 @@
 }
 
 #[expect(clippy::cast_precision_loss, reason = "a span in milliseconds")]
-const fn to_float(ms: Ms) -> f64 {
+pub(crate) const fn to_float(ms: Ms) -> f64 {
     ms as f64
 }
 
 #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a time in milliseconds")]
-const fn to_ms(ms: f64) -> Ms {
+pub(crate) const fn to_ms(ms: f64) -> Ms {
     ms as Ms
 }
--- a/components/shard/src/state.rs
+++ b/components/shard/src/state.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeSet, HashMap, HashSet};
 
 use crate::Ms;
+use crate::arrivals::Arrivals;
 use crate::batch::Batch;
 use crate::io::{Action, Input, Timing};
 use crate::job::{Job, JobKey, StepRef, TaskRef};
@@ -53,6 +54,8 @@
     pub(crate) quota_limited: bool,
     /// Moving average of task durations by queue, in milliseconds.
     pub(crate) average_durations: HashMap<String, f64>,
+    /// Recent arrivals by service.
+    pub(crate) arrivals: HashMap<String, Arrivals>,
 }
 
 impl Shard {
@@ -82,6 +85,7 @@
             fenced: false,
             quota_limited: false,
             average_durations: HashMap::new(),
+            arrivals: HashMap::new(),
         }
     }
 
--- a/components/shard/src/view.rs
+++ b/components/shard/src/view.rs
@@ -2,8 +2,9 @@
 
 use std::collections::HashMap;
 
+use crate::Ms;
 use crate::model::{Resources, Verdict};
-use crate::rank::Rank;
+use crate::rank::{Rank, to_ms};
 use crate::state::Shard;
 
 /// State of a job, as callers see it.
@@ -30,6 +31,8 @@
     pub used: u64,
     /// Capacity of the schedulable workers.
     pub capacity: u64,
+    /// Capacity that long-running tasks hold, and that the work arriving after a move will need.
+    pub expected: u64,
     /// Ids of workers without runs.
     pub idle: Vec<String>,
 }
@@ -94,10 +97,11 @@
         table
     }
 
-    /// Load of a service's workers.
+    /// Load of a service's workers. `lead` is the time until a machine that is ordered now can help.
     #[must_use]
-    pub fn service_load(&self, service: &str) -> ServiceLoad {
-        let mut load = ServiceLoad::default();
+    pub fn service_load(&self, service: &str, lead: Ms) -> ServiceLoad {
+        let arriving = self.arrivals.get(service).map_or(0.0, |a| a.forecast(self.now, lead));
+        let mut load = ServiceLoad { expected: to_ms(arriving), ..ServiceLoad::default() };
         for worker in &self.workers {
             let zone_out = self.zones_out.contains(&worker.info.zone);
             if worker.info.service != service || zone_out || !worker.schedulable(self.now) {
@@ -105,6 +109,8 @@
             }
             load.capacity += worker.info.capacity.cpu;
             load.used += worker.used.cpu;
+            let long_running = worker.runs.values().filter(|r| r.long_running);
+            load.expected += long_running.map(|r| r.reserved.cpu).sum::<u64>();
             if worker.runs.is_empty() {
                 load.idle.push(worker.info.id.clone());
             }
--- a/components/shard/tests/fleet/jobs.rs
+++ b/components/shard/tests/fleet/jobs.rs
@@ -254,10 +254,10 @@
     fleet.listed[0].zone = "z2".into();
     fleet.send_worker_list();
     fleet.advance(100);
-    let load = fleet.shard.service_load("quotes");
+    let load = fleet.shard.service_load("quotes", 1_800);
     expect_that!((load.capacity, load.idle.len()), eq((8_000, 2)));
     fleet.apply(Input::ZonesOut(vec!["z2".into()]));
-    let load = fleet.shard.service_load("quotes");
+    let load = fleet.shard.service_load("quotes", 1_800);
     expect_that!(load.capacity, eq(4_000));
     expect_that!(load.idle, eq(&vec!["w1".to_owned()]));
 }
@@ -268,7 +268,7 @@
     fleet.work_ms = 60_000;
     fleet.submit(job("a", vec![step(3, 1_000)]));
     fleet.advance(200);
-    expect_that!(fleet.shard.service_load("quotes").demand, eq(2_000));
+    expect_that!(fleet.shard.service_load("quotes", 1_800).demand, eq(2_000));
     fleet.advance(9_000);
-    expect_that!(fleet.shard.service_load("quotes").demand, eq(0));
+    expect_that!(fleet.shard.service_load("quotes", 1_800).demand, eq(0));
 }
