Tasks of jobs are packed on workers, as long-running ones are

Change: placement takes the fullest worker with room, for every task. Test: with six tasks on four workers two stay idle (none before).

Ruled out: draining workers of a pool with too many, which needs a cordon for seconds; packing does without.

--- a/components/shard/src/placement.rs
+++ b/components/shard/src/placement.rs
@@ -15,7 +15,7 @@
 const MAX_UNPLACED_STEPS: usize = 24;
 
 /// Cost of a worker for a task, the most significant part first: the task failed there, other rack than
-/// preferred, due for maintenance, runs that interfere, utilization.
+/// preferred, due for maintenance, runs that interfere, unused share.
 type Cost = (bool, bool, bool, u64, u64);
 
 /// Result of placing one task.
@@ -193,9 +193,8 @@
             let other_rack = !spec.preferred_rack.is_empty() && worker.rack != spec.preferred_rack;
             // A long-running task would soon have to move again.
             let due = spec.long_running && worker.maintenance_due;
-            let load = utilization(&worker.used, &worker.info.capacity);
-            // Long-running tasks are bin-packed, so that whole machines stay free for other pools.
-            let load = if spec.long_running { FULL_LOAD_PERMILLE.saturating_sub(load) } else { load };
+            // Tasks are bin-packed, so that whole machines stay free for other pools.
+            let unused = FULL_LOAD_PERMILLE.saturating_sub(utilization(&worker.used, &worker.info.capacity));
             let interference = if spec.best_effort {
                 worker.runs.values().filter(|r| r.latency_target > 0).count() as u64
             } else if spec.latency_target > 0 {
@@ -203,7 +202,7 @@
             } else {
                 0
             };
-            let cost = (avoided, other_rack, due, interference, load);
+            let cost = (avoided, other_rack, due, interference, unused);
             if best.as_ref().is_none_or(|(c, _)| cost < *c) {
                 best = Some((cost, key));
             }
--- a/components/shard/tests/fleet/jobs.rs
+++ b/components/shard/tests/fleet/jobs.rs
@@ -176,6 +176,18 @@
     expect_that!(fleet.job_state("fits"), some(eq(JobState::Completed)));
 }
 
+#[gtest]
+fn tasks_share_workers_so_that_others_stay_free_for_other_pools() {
+    let mut fleet = Fleet::new(4, 4_000);
+    fleet.work_ms = 3_000;
+    for n in 0..6 {
+        fleet.submit(job(&format!("j{n}"), vec![step(1, 1_000)]));
+        fleet.advance(100);
+    }
+    expect_that!(fleet.start_requests.len(), eq(6));
+    expect_that!(fleet.shard.service_load("quotes", 1_800).idle.len(), eq(2));
+}
+
 #[gtest]
 fn tasks_of_a_step_respect_the_limit_per_worker() {
     let mut fleet = Fleet::new(3, 9_000);
