Pools keep two fifths of the mean size

Pools kept 60 percent of the mean size and half of their capacity unused because they noticed a turn late; with the forecast and packing they need less.

--- a/components/capacity/src/lib.rs
+++ b/components/capacity/src/lib.rs
@@ -18,9 +18,9 @@
 const LEND_DELAY_MS: Ms = 500;
 /// Share of the mean size of all pools, in percent, that each pool keeps: capacity for long-running tasks,
 /// for the first jobs of a sudden burst, and for a change of coordinator while such a burst begins.
-const RETAIN_PERCENT: usize = 60;
+const RETAIN_PERCENT: usize = 40;
 /// Share of its capacity, in percent, that a pool keeps unused when it gives machines away.
-const HEADROOM_PERCENT: u64 = 50;
+const HEADROOM_PERCENT: u64 = 25;
 
 /// Milliseconds on a monotonic clock.
 pub type Ms = u64;
