--- a/components/entry/src/members.rs
+++ b/components/entry/src/members.rs
@@ -178,8 +178,12 @@
 async fn release_ended_tasks(node: &Node) {
     let kept: Vec<(OrphanedTask, Option<String>)> = {
         let state = node.state.lock();
+        let now = Instant::now();
         let addr = |worker: &str| state.workers.get(worker).filter(|w| w.listed).map(|w| w.info.addr.clone());
-        state.tables.orphaned_tasks.values().map(|t| (t.clone(), addr(&t.worker))).collect()
+        let tasks = state.tables.orphaned_tasks.values();
+        // The tasks of a worker that is missing from the host list may still run.
+        let decidable = tasks.filter(|t| addr(&t.worker).is_some() || state.is_gone(&t.worker, now));
+        decidable.map(|t| (t.clone(), addr(&t.worker))).collect()
     };
     let mut ended_tasks = Vec::new();
     for (task, addr) in kept {
--- a/components/entry/src/workers.rs
+++ b/components/entry/src/workers.rs
@@ -54,6 +54,16 @@
         is_recent && self.missing.values().all(|since| now.saturating_duration_since(*since) > MISSING_GRACE)
     }
 
+    /// True if a worker has been absent from the host list for so long that its tasks have ended, or if it
+    /// belongs to no pool any more.
+    pub(crate) fn is_gone(&self, worker: &str, now: Instant) -> bool {
+        !self.tables.hosts.contains_key(worker)
+            || self
+                .missing
+                .get(worker)
+                .is_some_and(|since| now.saturating_duration_since(*since) > MISSING_GRACE)
+    }
+
     fn track_missing(&mut self, names: &BTreeSet<String>, now: Instant) {
         self.listed_at = Some(now);
         let (tables, missing) = (&self.tables, &mut self.missing);
--- a/components/trial/src/fleet.rs
+++ b/components/trial/src/fleet.rs
@@ -254,6 +254,14 @@
         self.wait_answer(addr, "/usage").await;
     }
 
+    /// Empties the host list.
+    ///
+    /// # Panics
+    /// When the stand-in does not take it.
+    pub async fn empty_list(&self) {
+        self.tell(self.list_addr(), Method::PUT, "/hosts", &Vec::<HostInfo>::new()).await;
+    }
+
     /// Writes the host list.
     ///
     /// # Panics
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -1,6 +1,7 @@
 //! A team's upper limit holds through network partitions, killed hosts and log outages.
 
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
 use googletest::prelude::*;
 use standin::log::Faults;
@@ -11,6 +12,8 @@
 
 /// Upper limit of the team, in tasks.
 const LIMIT: u32 = 5;
+/// Time in which the units of fenced hosts are reclaimed once their workers are known.
+const RECLAIM_TIME: Duration = Duration::from_secs(1);
 /// Requests that must run before a test takes its next step.
 const STEP_REQUESTS: usize = 60;
 
@@ -165,6 +168,16 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn reclaims_nothing_while_the_host_list_is_out() {
+    reclaim_around_an_outage_of_the_host_list(None).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn frees_no_units_of_tasks_whose_workers_are_missing_from_the_host_list() {
+    reclaim_around_an_outage_of_the_host_list(Some(Duration::from_millis(1_300))).await;
+}
+
+/// Once the list is back, it is empty for a while if `empty` says so.
+async fn reclaim_around_an_outage_of_the_host_list(empty: Option<Duration>) {
     let mut fleet = Fleet::start(plan()).await;
     fleet.set_up(&[("a", 1, LIMIT)], 2).await;
     let long = Load::start(usize::try_from(LIMIT).unwrap(), &[fleet.callers(1)], |n| {
@@ -194,6 +207,12 @@
     })
     .await;
     fleet.start_list().await;
+    if let Some(empty) = empty {
+        tokio::time::sleep(RECLAIM_TIME).await;
+        fleet.empty_list().await;
+        tokio::time::sleep(empty).await;
+        fleet.put_list().await;
+    }
     let short = Load::start(6, &[fleet.callers(0), fleet.callers(2)], |n| {
         Ask::single("a", &format!("short-{n}"), 20)
     });
