Owners that follow one another do not each wait for the longest lease

Change: while a worker with runs is silent its owner notes each second in the worker's record how long the leases there still last. A new owner waits for that at most. An owner that has noted it grants no lease there, by poll or start, before the log has stored a record without it. The time is relative to the writing, so clocks need not agree, and a later reading only waits longer.

--- a/components/shard/src/batch.rs
+++ b/components/shard/src/batch.rs
@@ -17,8 +17,8 @@
     pub new_jobs: Vec<JobKey>,
     /// Cancellations to answer, with their jobs.
     pub cancel_requests: Vec<(JobKey, u64)>,
-    /// Workers whose records it holds.
-    pub workers: Vec<WorkerKey>,
+    /// Workers whose records it holds, and whether a record notes the rest of the worker's leases.
+    pub workers: Vec<(WorkerKey, bool)>,
     /// Planned runs that it records.
     pub starts: Vec<(WorkerKey, TaskRef, u32)>,
     /// For each worker, its incarnation and the highest end whose effects it holds.
@@ -96,10 +96,13 @@
                     batch.starts.push((key, *task, run.number));
                 }
             }
-            batch.workers.push(key);
+            let lease_left = worker.lease_left(self.now);
+            batch.workers.push((key, lease_left > 0));
             if !runs.is_empty() || worker.recorded {
-                records.push(record::worker(&worker.info.id, &worker.info.addr, runs));
-                self.workers[key as usize].recorded = true;
+                records.push(record::worker(&worker.info.id, &worker.info.addr, runs, lease_left));
+                let worker = &mut self.workers[key as usize];
+                worker.recorded = true;
+                worker.lease_noted |= lease_left > 0;
             }
         }
         batch.ends = (0..).zip(&self.workers).map(|(key, w)| (key, w.incarnation, w.ends_seen)).collect();
@@ -121,6 +124,9 @@
                 worker.ends_stored = worker.ends_stored.max(seen);
             }
         }
+        for (key, lease_noted) in batch.workers {
+            self.workers[key as usize].lease_noted = lease_noted;
+        }
         self.pending_starts.extend(batch.starts);
         for key in batch.jobs.into_iter().chain(batch.new_jobs) {
             self.job_stored(key);
@@ -142,7 +148,7 @@
                 job.cancel_requests.push(request_id);
             }
         }
-        self.dirty_workers.extend(batch.workers);
+        self.dirty_workers.extend(batch.workers.into_iter().map(|(key, _)| key));
         self.dirty_jobs.extend(batch.jobs.into_iter().filter(|k| self.jobs.contains_key(k)));
         let newer = std::mem::replace(&mut self.deletions, batch.deletions);
         self.deletions.extend(newer);
--- a/components/shard/src/health.rs
+++ b/components/shard/src/health.rs
@@ -14,6 +14,9 @@
 const FAILURE_BACKOFF_MS: Ms = 4_000;
 /// Backoff after a refused start.
 const REFUSAL_BACKOFF_MS: Ms = 300;
+/// Time without an answer after which the rest of a worker's leases is noted in the log, and again after
+/// each such time.
+const LEASE_NOTE_INTERVAL_MS: Ms = 1_000;
 /// Time without progress after which a run counts as stalled.
 const PROGRESS_TIMEOUT_MS: Ms = 2_500;
 
@@ -42,6 +45,19 @@
         worker.backoff_until = worker.backoff_until.max(now + REFUSAL_BACKOFF_MS);
     }
 
+    /// Notes in the log how long the leases of silent workers still last, so that owners which take over
+    /// from one another do not each wait for the longest lease.
+    pub(crate) fn note_leases(&mut self) {
+        let now = self.now;
+        for (key, worker) in (0..).zip(&mut self.workers) {
+            let silent = !worker.runs.is_empty() && worker.lease_left(now) > 0;
+            if silent && now >= worker.lease_noted_at + LEASE_NOTE_INTERVAL_MS {
+                worker.lease_noted_at = now;
+                self.dirty_workers.insert(key);
+            }
+        }
+    }
+
     /// Drops the runs of workers that have not answered until their leases have certainly expired.
     pub(crate) fn expire_leases(&mut self) {
         for key in 0..u32::try_from(self.workers.len()).unwrap_or(u32::MAX) {
--- a/components/shard/src/placement.rs
+++ b/components/shard/src/placement.rs
@@ -298,6 +298,7 @@
             || worker.cordoned
             || !worker.info.ready
             || worker.reachability != Reachability::Reachable
+            || worker.lease_noted
         {
             return None;
         }
--- a/components/shard/src/record.rs
+++ b/components/shard/src/record.rs
@@ -30,6 +30,10 @@
     /// Runs that were planned there. Some may have ended since.
     #[prost(message, repeated, tag = "3")]
     pub runs: Vec<RunRecord>,
+    /// Milliseconds after which all leases granted there have expired, counted from when this was written; 0
+    /// if unknown. An owner that writes it grants no lease there before it has written 0.
+    #[prost(uint64, tag = "4")]
+    pub lease_left: u64,
 }
 
 /// A run that may be on a worker.
@@ -130,8 +134,8 @@
 }
 
 /// Records the runs of a worker; the record is deleted once there are none.
-pub(crate) fn worker(id: &str, addr: &str, runs: Vec<RunRecord>) -> Record {
-    let record = WorkerRecord { id: id.to_owned(), addr: addr.to_owned(), runs };
+pub(crate) fn worker(id: &str, addr: &str, runs: Vec<RunRecord>, lease_left: u64) -> Record {
+    let record = WorkerRecord { id: id.to_owned(), addr: addr.to_owned(), runs, lease_left };
     let value = (!record.runs.is_empty()).then(|| record.encode_to_vec());
     Record { key: format!("{WORKER_PREFIX}{id}"), value }
 }
--- a/components/shard/src/recovery.rs
+++ b/components/shard/src/recovery.rs
@@ -57,6 +57,10 @@
         worker.recorded = true;
         worker.listed = false;
         worker.lease_end = self.now + self.timing.overlap + self.timing.max_lease();
+        if record.lease_left > 0 {
+            worker.lease_noted = true;
+            worker.lease_end = worker.lease_end.min(self.now + record.lease_left);
+        }
         self.workers.push(worker);
         for run in &record.runs {
             let task = TaskId::parse(&run.task_id).and_then(|n| self.task_ref(&n));
--- a/components/shard/src/report.rs
+++ b/components/shard/src/report.rs
@@ -95,6 +95,10 @@
         worker.reachability = Reachability::Reachable;
         worker.first_contact.get_or_insert(now);
         worker.removed = false;
+        worker.lease_noted_at = now;
+        if worker.lease_noted {
+            self.dirty_workers.insert(key);
+        }
         worker.clock = Some((report.clock, now));
         worker.polling = false;
         worker.poll_at = now;
--- a/components/shard/src/state.rs
+++ b/components/shard/src/state.rs
@@ -142,6 +142,7 @@
         self.quota_limited = false;
         self.activate_due_occurrences();
         self.expire_leases();
+        self.note_leases();
         self.delete_expired_jobs();
         if may_start {
             self.send_starts();
@@ -171,7 +172,7 @@
                 continue;
             }
             worker.polling = true;
-            let known = worker.reachability == Reachability::Reachable;
+            let known = worker.reachability == Reachability::Reachable && !worker.lease_noted;
             let lease_until =
                 worker.estimated_clock(self.now).filter(|_| known).map(|c| c + self.timing.lease);
             if lease_until.is_some() {
--- a/components/shard/src/worker.rs
+++ b/components/shard/src/worker.rs
@@ -135,6 +135,11 @@
     pub clock: Option<(u64, Ms)>,
     /// When the leases of all its runs have expired unless it is reached again; 0 if it holds none.
     pub lease_end: Ms,
+    /// The log may hold the rest of its leases, so none may be granted until the log has stored another
+    /// record.
+    pub lease_noted: bool,
+    /// When the rest of its leases was last noted, or when it last answered.
+    pub lease_noted_at: Ms,
     /// Sum of the reservations of its runs.
     pub used: Resources,
     pub runs: HashMap<TaskRef, Run>,
@@ -171,6 +176,8 @@
             ends_stored: 0,
             clock: None,
             lease_end: 0,
+            lease_noted: false,
+            lease_noted_at: now,
             used: Resources::default(),
             runs: HashMap::new(),
             unknown_runs: Vec::new(),
@@ -201,6 +208,11 @@
             && now >= self.backoff_until
     }
 
+    /// Milliseconds until the leases of a silent worker have expired; 0 if it answers or holds none.
+    pub fn lease_left(&self, now: Ms) -> Ms {
+        if self.reachability == Reachability::Reachable { 0 } else { self.lease_end.saturating_sub(now) }
+    }
+
     /// Estimate of its clock; behind by the time that the last reading was in transit.
     pub fn estimated_clock(&self, now: Ms) -> Option<u64> {
         self.clock.map(|(clock, read)| clock + now.saturating_sub(read))
--- a/components/shard/tests/fleet/failures.rs
+++ b/components/shard/tests/fleet/failures.rs
@@ -251,3 +251,43 @@
     fleet.advance(9_000);
     expect_that!(fleet.speeds.last(), some(eq(&100)));
 }
+
+#[gtest]
+fn tasks_of_a_lost_worker_restart_although_the_owner_changes_again_and_again() {
+    let mut fleet = Fleet::new(3, 4_000);
+    fleet.submit(long_running("a", 2, 1_000));
+    fleet.advance(1_000);
+    let lost = fleet.start_requests[0].worker.clone();
+    let worker = fleet.workers.get_mut(&lost).expect("a worker");
+    worker.unreachable = true;
+    worker.running.clear();
+    for _ in 0..3 {
+        fleet.advance(3_500);
+        fleet.change_owner();
+    }
+    fleet.advance(500);
+    let running = fleet.workers.values().filter(|w| !w.unreachable).map(|w| w.running.len()).sum::<usize>();
+    expect_that!(running, eq(2));
+}
+
+#[gtest]
+fn a_worker_that_answers_again_gets_no_lease_before_the_log_knows_of_it() {
+    let mut fleet = Fleet::new(2, 4_000);
+    fleet.work_ms = 60_000;
+    fleet.submit(job("a", vec![step(1, 1_000)]));
+    fleet.advance(500);
+    let id = fleet.start_requests[0].worker.clone();
+    fleet.workers.get_mut(&id).expect("a worker").unreachable = true;
+    fleet.advance(3_500);
+    fleet.workers.get_mut(&id).expect("a worker").unreachable = false;
+    fleet.log_unresponsive = true;
+    fleet.advance(1_000);
+    let lease_end = fleet.workers[&id].lease_end;
+    fleet.advance(500);
+    expect_that!(fleet.workers[&id].lease_end, eq(lease_end));
+    // The next owner waits for no longer than that lease, and the run has ended by then.
+    fleet.log_unresponsive = false;
+    fleet.advance(1_000);
+    expect_that!(fleet.workers[&id].lease_end, gt(lease_end));
+    expect_that!(fleet.workers[&id].running.len(), eq(1));
+}
