No job with numbers at their limits takes its owner down

Cause, three faults, each shown by a test that failed first (shard tests/fleet/extremes.rs): - A job repeated with an interval of 0 and a count of 4 billion made its owner activate all of them in one step: out of memory, and again at each next owner, as the job is stored. Now at most 1,000 occurrences, or 20,000 tasks, of a job are in progress. - Sums and products of amounts overflowed: a panic in debug builds; in release builds a quota that let anything start (cpu of u64::MAX plus what is charged wraps to less). They stop at the largest number now, also the due time of an occurrence. - A task larger than any machine counted as demand, so that a job that can never run took machines from the other pools. The coordinator tells the owners the fleet's largest machine; what needs more counts for nothing.

Ruled out: refusing such jobs at the API, which would refuse legal ones (overlapping occurrences, machines of a kind that comes later).

--- a/components/capacity/tests/turns/player.rs
+++ b/components/capacity/tests/turns/player.rs
@@ -240,7 +240,7 @@
             .iter()
             .zip(&self.services)
             .map(|(name, service)| {
-                let load = service.shard.service_load(name, lead);
+                let load = service.shard.service_load(name, lead, MACHINE_CPU);
                 see(PoolLoad {
                     name: (*name).into(),
                     pending_cpu: load.demand,
--- a/components/relay/src/coordinator.rs
+++ b/components/relay/src/coordinator.rs
@@ -17,6 +17,7 @@
 use crate::clock::{monotonic_ms, wall_ms};
 use crate::configuration::{Configuration, Wave as WaveSpec};
 use crate::coordinator_log::{CoordinatorLog, LogTarget, WaveProgress};
+use crate::message::LoadRequest;
 use crate::node::Node;
 use crate::partition;
 use crate::platform::{Machines, OrderReply, Store};
@@ -130,10 +131,17 @@
     /// Reads the load of all pools but spare ones from the owners of their shards.
     async fn pool_loads(&self, config: &Configuration, machines: &[Machine], waves: &Waves) -> Vec<PoolLoad> {
         let pending: BTreeSet<&String> = waves.open.values().flat_map(Wave::remaining).collect();
+        let largest_cpu = machines.iter().map(|m| m.cpu).max().unwrap_or(0);
         let requests = config.pools.iter().filter(|p| !p.spare).map(|pool| {
             let due = machines.iter().filter(|m| m.pool == pool.name && pending.contains(&m.name));
             let due = due.map(|m| m.worker.clone()).collect();
-            self.node.service_load(&pool.name, due, self.move_ms + JOIN_DELAY_MS, OWNER_TIMEOUT)
+            let request = LoadRequest {
+                service: pool.name.clone(),
+                due_workers: due,
+                lead_ms: self.move_ms + JOIN_DELAY_MS,
+                largest_cpu,
+            };
+            self.node.service_load(request, OWNER_TIMEOUT)
         });
         join_all(requests).await.into_iter().flatten().collect()
     }
--- a/components/relay/src/message.rs
+++ b/components/relay/src/message.rs
@@ -65,6 +65,9 @@
     /// Milliseconds until a machine that is ordered now can help.
     #[prost(uint64, tag = "3")]
     pub lead_ms: u64,
+    /// CPU of the fleet's largest machine, in thousandths of a core.
+    #[prost(uint64, tag = "4")]
+    pub largest_cpu: u64,
 }
 
 /// Amounts of resources.
--- a/components/relay/src/node/coordination.rs
+++ b/components/relay/src/node/coordination.rs
@@ -40,18 +40,13 @@
     }
 
     /// Requests the load of a service's workers, and tells the shard which of them are due for maintenance.
-    pub async fn service_load(
-        &self,
-        service: &str,
-        due_workers: Vec<String>,
-        lead_ms: u64,
-        timeout: Duration,
-    ) -> Option<PoolLoad> {
-        let body = RequestBody::Load(LoadRequest { service: service.to_owned(), due_workers, lead_ms });
-        let load = self.try_owner(self.partition_of(service)?, body, timeout).await.ok()?.load?;
+    pub async fn service_load(&self, request: LoadRequest, timeout: Duration) -> Option<PoolLoad> {
+        let service = request.service.clone();
+        let body = RequestBody::Load(request);
+        let load = self.try_owner(self.partition_of(&service)?, body, timeout).await.ok()?.load?;
         let LoadReply { demand, used, capacity, idle, expected } = load;
         Some(PoolLoad {
-            name: service.to_owned(),
+            name: service,
             pending_cpu: demand,
             used_cpu: used,
             expected_cpu: expected,
--- a/components/relay/src/owner.rs
+++ b/components/relay/src/owner.rs
@@ -260,9 +260,9 @@
             }
             // Node::handle_locally answers these.
             RequestBody::Quota(_) | RequestBody::Documents(_) => Reply::of(ReplyKind::Unspecified),
-            RequestBody::Load(LoadRequest { service, due_workers, lead_ms }) => {
+            RequestBody::Load(LoadRequest { service, due_workers, lead_ms, largest_cpu }) => {
                 self.apply(Input::MaintenanceDue { service: service.clone(), workers: due_workers });
-                let load = Some(self.shard.service_load(&service, lead_ms).into());
+                let load = Some(self.shard.service_load(&service, lead_ms, largest_cpu).into());
                 Reply { load, ..Reply::of(ReplyKind::Load) }
             }
             RequestBody::UncordonWorker(worker) => {
--- a/components/shard/src/admission.rs
+++ b/components/shard/src/admission.rs
@@ -108,9 +108,11 @@
             let next =
                 job.occurrences.iter().map(|o| o.number + 1).chain(job.completed.iter().map(|n| n + 1));
             let mut number = next.max().unwrap_or(0);
-            while number < repeat.count && repeat.first + u64::from(number) * repeat.interval <= wall_ms {
+            let mut free = job.max_active_occurrences().saturating_sub(job.occurrences.len());
+            while free > 0 && number < repeat.count && repeat.due_at(number) <= wall_ms {
                 due.push((key, number));
                 number += 1;
+                free -= 1;
             }
         }
         for (key, number) in due {
--- a/components/shard/src/job.rs
+++ b/components/shard/src/job.rs
@@ -5,6 +5,11 @@
 use crate::record::{OccurrenceProgress, Progress, StepProgress, TaskFailures};
 use crate::worker::WorkerKey;
 
+/// Tasks of a repeated job in progress at which no further occurrence becomes active.
+const MAX_ACTIVE_TASKS: usize = 20_000;
+/// Occurrences of a job in progress at which no further one becomes active.
+const MAX_ACTIVE_OCCURRENCES: usize = 1_000;
+
 /// Internal key of a job.
 pub(crate) type JobKey = u32;
 
@@ -124,6 +129,13 @@
         self.spec.repeat.map_or(1, |r| r.count)
     }
 
+    /// Most occurrences in progress at a time. Those of a job whose interval is shorter than its work, or 0, wait
+    /// for earlier ones, so that no job fills the memory of its owner.
+    pub fn max_active_occurrences(&self) -> usize {
+        let tasks: usize = self.spec.steps.iter().map(|s| s.count as usize).sum();
+        (MAX_ACTIVE_TASKS / tasks.max(1)).clamp(1, MAX_ACTIVE_OCCURRENCES)
+    }
+
     /// Progress in the form that the log stores.
     pub fn progress(&self) -> Progress {
         let mut occurrences: Vec<OccurrenceProgress> = self
--- a/components/shard/src/model.rs
+++ b/components/shard/src/model.rs
@@ -44,10 +44,27 @@
     }
 }
 
+impl Resources {
+    /// Each amount times `count`, up to the largest number.
+    #[must_use]
+    pub const fn times(&self, count: u64) -> Self {
+        Self {
+            cpu: self.cpu.saturating_mul(count),
+            mem: self.mem.saturating_mul(count),
+            gpu: self.gpu.saturating_mul(count),
+        }
+    }
+}
+
+/// Sums stop at the largest number, as callers may ask for any amount.
 impl Add for Resources {
     type Output = Self;
     fn add(self, other: Self) -> Self {
-        Self { cpu: self.cpu + other.cpu, mem: self.mem + other.mem, gpu: self.gpu + other.gpu }
+        Self {
+            cpu: self.cpu.saturating_add(other.cpu),
+            mem: self.mem.saturating_add(other.mem),
+            gpu: self.gpu.saturating_add(other.gpu),
+        }
     }
 }
 
@@ -157,6 +174,14 @@
     pub count: u32,
 }
 
+impl Repeat {
+    /// When an occurrence is due, in milliseconds since the Unix epoch.
+    #[must_use]
+    pub const fn due_at(&self, number: u32) -> u64 {
+        self.first.saturating_add((number as u64).saturating_mul(self.interval))
+    }
+}
+
 /// A job and the terms under which it was accepted.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct JobSpec {
--- a/components/shard/src/view.rs
+++ b/components/shard/src/view.rs
@@ -90,16 +90,15 @@
             }
             let entry = table.entry(job.spec.tenant.clone()).or_default();
             let waiting = u64::from(step.waiting_count);
-            let charge = spec.charge();
-            entry.demand +=
-                Resources { cpu: charge.cpu * waiting, mem: charge.mem * waiting, gpu: charge.gpu * waiting };
+            entry.demand += spec.charge().times(waiting);
         }
         table
     }
 
-    /// Load of a service's workers. `lead` is the time until a machine that is ordered now can help.
+    /// Load of a service's workers. `lead` is the time until a machine that is ordered now can help. Tasks that
+    /// need more than `largest_cpu`, the CPU of the fleet's largest machine, count for nothing.
     #[must_use]
-    pub fn service_load(&self, service: &str, lead: Ms) -> ServiceLoad {
+    pub fn service_load(&self, service: &str, lead: Ms, largest_cpu: u64) -> ServiceLoad {
         let arriving = self.arrivals.get(service).map_or(0.0, |a| a.forecast(self.now, lead));
         let mut load = ServiceLoad { expected: to_ms(arriving), ..ServiceLoad::default() };
         for worker in &self.workers {
@@ -128,7 +127,11 @@
             if self.rank(job, *step_ref).0 > Rank::OnTime {
                 continue;
             }
-            load.demand += spec.reservation().cpu * u64::from(step.waiting_count);
+            if spec.reservation().cpu > largest_cpu {
+                continue;
+            }
+            load.demand =
+                load.demand.saturating_add(spec.reservation().times(u64::from(step.waiting_count)).cpu);
         }
         load
     }
--- a/components/shard/tests/fleet/jobs.rs
+++ b/components/shard/tests/fleet/jobs.rs
@@ -185,7 +185,7 @@
         fleet.advance(100);
     }
     expect_that!(fleet.start_requests.len(), eq(6));
-    expect_that!(fleet.shard.service_load("quotes", 1_800).idle.len(), eq(2));
+    expect_that!(fleet.shard.service_load("quotes", 1_800, 4_000).idle.len(), eq(2));
 }
 
 #[gtest]
@@ -266,10 +266,10 @@
     fleet.listed[0].zone = "z2".into();
     fleet.send_worker_list();
     fleet.advance(100);
-    let load = fleet.shard.service_load("quotes", 1_800);
+    let load = fleet.shard.service_load("quotes", 1_800, 4_000);
     expect_that!((load.capacity, load.idle.len()), eq((8_000, 2)));
     fleet.apply(Input::ZonesOut(vec!["z2".into()]));
-    let load = fleet.shard.service_load("quotes", 1_800);
+    let load = fleet.shard.service_load("quotes", 1_800, 4_000);
     expect_that!(load.capacity, eq(4_000));
     expect_that!(load.idle, eq(&vec!["w1".to_owned()]));
 }
@@ -280,7 +280,7 @@
     fleet.work_ms = 60_000;
     fleet.submit(job("a", vec![step(3, 1_000)]));
     fleet.advance(200);
-    expect_that!(fleet.shard.service_load("quotes", 1_800).demand, eq(2_000));
+    expect_that!(fleet.shard.service_load("quotes", 1_800, 4_000).demand, eq(2_000));
     fleet.advance(9_000);
-    expect_that!(fleet.shard.service_load("quotes", 1_800).demand, eq(0));
+    expect_that!(fleet.shard.service_load("quotes", 1_800, 4_000).demand, eq(0));
 }
--- a/components/shard/tests/fleet/main.rs
+++ b/components/shard/tests/fleet/main.rs
@@ -1,5 +1,6 @@
 //! A shard in an in-memory environment.
 
+mod extremes;
 mod failures;
 mod jobs;
 mod random_faults;
