--- a/tests/once.rs
+++ b/tests/once.rs
@@ -78,7 +78,7 @@
 
 /// Starts a host again that was fenced after its silence: it has exited, and a supervisor restarts it.
 fn restart_if_fenced(fleet: &mut Fleet, host: usize) {
-    let exit_code = fleet.entries[host].process.as_mut().and_then(|p| p.exit_code());
+    let exit_code = fleet.entries[host].process.as_mut().and_then(trial::process::Process::exit_code);
     match exit_code {
         None => {}
         Some(FENCED_EXIT_CODE) => fleet.start_entry(host),
