A refusal after a try without an answer says that the job may run

Cause: a submission that got no answer from the owner is tried again within the caller's time. If the owner refused the second try, since the log was stalled and it knew no such job, the caller was told 503, not run. The first try could still be on its way, in the connection or in the owner's channel, and be accepted after that: the caller was told that work that ran had not run.

Change: after a try without an answer a refusal becomes 'unknown' (504), and the caller asks again under the same id.

Shown: a stand-in owner that is silent once and then refuses; Refused before, Uncertain now. A refusal of the only try is told as before.

Ruled out: 504 whenever the owner cannot be reached. Such an attempt was not sent to anybody, so it is true that it is not accepted and never runs; an earlier attempt of the same id has been answered for by itself.

--- a/components/relay/src/node.rs
+++ b/components/relay/src/node.rs
@@ -224,7 +224,7 @@
                 match self.try_owner(partition, body.clone(), remaining).await {
                     Ok(reply) => {
                         if let Some(outcome) = caller_outcome(&reply) {
-                            return outcome;
+                            return if uncertain { after_lost_try(outcome) } else { outcome };
                         }
                         uncertain |= reply.kind() == ReplyKind::Uncertain;
                     }
@@ -323,6 +323,15 @@
     }
 }
 
+/// Outcome for the caller after an earlier try without an answer. That try may still reach the owner and be
+/// carried out, so a refusal of the last try is not the last word.
+const fn after_lost_try(outcome: Outcome) -> Outcome {
+    match outcome {
+        Outcome::Refused => Outcome::Uncertain,
+        outcome => outcome,
+    }
+}
+
 /// Outcome for the caller; `None` if the request is to be retried.
 fn caller_outcome(reply: &Reply) -> Option<Outcome> {
     match reply.kind() {
--- a/components/relay/tests/daemons/main.rs
+++ b/components/relay/tests/daemons/main.rs
@@ -1,5 +1,6 @@
 //! Daemons that talk over loopback and share an in-memory store, workers and machines.
 
+mod owner;
 mod platform;
 
 use std::collections::HashSet;
@@ -8,6 +9,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use owner::{Answer, start_owner};
 use platform::{PARTITIONS, Platform, PlatformClient, TASK_MS, Worker, config};
 use relay::platform::{Store, Workers};
 use relay::{Node, NodeOptions, Outcome, Role};
@@ -229,3 +231,28 @@
     wait_for_role(&platform, &standby.member, Role::Standby).await;
     wait_for_completion(&preferred[0].node, 3).await;
 }
+
+/// A daemon on standby beside an owner that gives `answers` to submissions.
+async fn start_beside_owner(answers: &[Answer]) -> Daemon {
+    let (platform, _) = start_fleet(0).await;
+    let addr = start_owner(answers).await;
+    platform.state.lock().members.insert(addr.to_string(), (u64::MAX, Role::Owner));
+    start_daemon(&platform, 0, false).await
+}
+
+#[tokio::test]
+async fn a_refusal_after_a_try_without_an_answer_does_not_say_that_the_job_was_not_run() {
+    let daemon = start_beside_owner(&[Answer::Silence, Answer::Refused]).await;
+    eventually("the configuration", || async { daemon.node.config().is_some() }).await;
+    // The first try may still be on its way to the owner.
+    let outcome = daemon.node.submit(job(1), CALL_TIMEOUT).await;
+    assert_that!(outcome, eq(Outcome::Uncertain));
+}
+
+#[tokio::test]
+async fn a_refusal_of_the_only_try_says_that_the_job_was_not_run() {
+    let daemon = start_beside_owner(&[Answer::Refused]).await;
+    eventually("the configuration", || async { daemon.node.config().is_some() }).await;
+    let outcome = daemon.node.submit(job(1), CALL_TIMEOUT).await;
+    assert_that!(outcome, eq(Outcome::Refused));
+}
