A step of a shard costs less by its tables; tasks that fit no worker keep no others waiting

Rows are dropped once nothing runs there and the log knows it (workers_that_have_left_take_no_room_in_the_table: 60 rows and 57 records of 4 workers before). - Each task's placement looked at every worker. A pass now lists its candidates by free processor time, and by rack; the tightest with room is found without the full ones. The cost of a worker is its free processor time instead of its unused share in thousandths of processors or memory, the one wanted difference of decisions; a debug assertion compares every placement with the scan. - A pass ends after 24 steps that lack capacity. Steps whose tasks are larger than every worker counted, so that 24 of them kept all later jobs waiting (tasks_that_fit_no_worker_keep_no_other_task_waiting: queued after 1 s before, completed now). They are passed over. It is in this commit as the pass was rewritten for it. - Ended jobs were looked for in each step (now each second), due occurrences among all jobs (now among repeated ones), and the end of a job walked all ready steps (now a range).

--- a/components/shard/src/admission.rs
+++ b/components/shard/src/admission.rs
@@ -1,5 +1,6 @@
 //! Admission of jobs, activation of their occurrences, and the list of workers.
 
+use crate::Ms;
 use crate::io::Action;
 use crate::job::{Job, JobKey, Occurrence, StepRef};
 use crate::model::{JobSpec, Verdict};
@@ -7,6 +8,9 @@
 use crate::state::Shard;
 use crate::worker::{Worker, WorkerInfo, WorkerKey};
 
+/// Time between two looks for jobs whose retention is over; it only delays their deletion.
+const EXPIRY_INTERVAL_MS: Ms = 1_000;
+
 impl Shard {
     pub(crate) fn submit(&mut self, request_id: u64, mut spec: JobSpec) {
         if let Some(job) = self.job_keys.get(&spec.id).and_then(|k| self.jobs.get_mut(k)) {
@@ -34,6 +38,9 @@
         let key = self.next_job_key;
         self.next_job_key += 1;
         self.job_keys.insert(spec.id.clone(), key);
+        if spec.repeat.is_some() {
+            self.repeated_jobs.insert(key);
+        }
         self.jobs.insert(key, Job::new(spec, queued_since));
         key
     }
@@ -64,6 +71,7 @@
     pub(crate) fn refuse_job(&mut self, key: JobKey) {
         let Some(job) = self.jobs.remove(&key) else { return };
         self.job_keys.remove(&job.spec.id);
+        self.repeated_jobs.remove(&key);
         self.dirty_jobs.remove(&key);
         tracing::info!(job = %job.spec.id, "shard: job refused because the log has not stored it");
         self.actions.extend(job.submit_requests.into_iter().map(Action::Refused));
@@ -100,7 +108,8 @@
     pub(crate) fn activate_due_occurrences(&mut self) {
         let wall_ms = self.wall_ms;
         let mut due: Vec<(JobKey, u32)> = Vec::new();
-        for (&key, job) in &self.jobs {
+        for &key in &self.repeated_jobs {
+            let Some(job) = self.jobs.get(&key) else { continue };
             let Some(repeat) = job.spec.repeat else { continue };
             if !job.stored || job.verdict != Verdict::Open {
                 continue;
@@ -122,12 +131,12 @@
 
     /// Applies the platform's list of workers.
     pub(crate) fn update_workers(&mut self, list: Vec<WorkerInfo>) {
-        for worker in &mut self.workers {
+        for worker in self.workers.values_mut() {
             worker.listed = false;
         }
         for info in list {
             if let Some(key) = self.worker_key(&info.id) {
-                let worker = &mut self.workers[key as usize];
+                let worker = &mut self.workers[key];
                 worker.listed = true;
                 worker.removed = worker.removed && worker.info.addr == info.addr;
                 worker.info = info;
@@ -135,37 +144,50 @@
             }
             self.add_worker(info);
         }
+        self.forget_removed_workers();
+    }
+
+    /// Drops the rows of workers that hold nothing any more, once the log knows it.
+    fn forget_removed_workers(&mut self) {
+        let (dirty, in_flight) = (&self.dirty_workers, &self.in_flight);
+        let stored = |key: WorkerKey| {
+            !dirty.contains(&key)
+                && in_flight.as_ref().is_none_or(|b| b.workers.iter().all(|(k, _)| *k != key))
+        };
+        self.workers.retain(|key, w| {
+            w.listed || !w.removed || w.polling || !w.runs.is_empty() || w.recorded || !stored(key)
+        });
     }
 
     pub(crate) fn add_worker(&mut self, info: WorkerInfo) -> WorkerKey {
-        let key = WorkerKey::try_from(self.workers.len()).unwrap_or(WorkerKey::MAX);
         tracing::info!(worker = %info.id, service = %info.service, zone = %info.zone, "shard: worker added");
-        self.worker_keys.insert(info.id.clone(), key);
-        self.workers.push(Worker::new(info, self.now));
-        key
+        self.workers.insert(Worker::new(info, self.now))
     }
 
     /// Removes workers that the platform no longer lists, once no run can be left on them.
     pub(crate) fn remove_unlisted_workers(&mut self) {
-        for key in 0..self.workers.len() {
-            let worker = &self.workers[key];
+        for (key, worker) in self.workers.iter_mut() {
             if worker.listed || worker.removed || !worker.runs.is_empty() || self.now < worker.lease_end {
                 continue;
             }
-            self.workers[key].removed = true;
-            self.dirty_workers.insert(WorkerKey::try_from(key).unwrap_or(WorkerKey::MAX));
+            worker.removed = true;
+            self.dirty_workers.insert(key);
         }
     }
 
     /// Deletes ended jobs after the retention time, once no worker has a run of them.
     pub(crate) fn delete_expired_jobs(&mut self) {
+        if self.now < self.expiry_due {
+            return;
+        }
+        self.expiry_due = self.now + EXPIRY_INTERVAL_MS;
         let old = self.wall_ms.saturating_sub(self.timing.retention);
         let expired: Vec<JobKey> = self
             .jobs
             .iter()
             .filter(|(_, j)| j.stored_verdict != Verdict::Open && j.ended_at < old)
             .map(|(&k, _)| k)
-            .filter(|k| !self.workers.iter().any(|w| w.runs.keys().any(|t| t.step_ref.job == *k)))
+            .filter(|k| !self.workers.values().any(|w| w.runs.keys().any(|t| t.step_ref.job == *k)))
             .collect();
         for key in expired {
             let Some(job) = self.jobs.remove(&key) else { continue };
--- a/components/shard/src/batch.rs
+++ b/components/shard/src/batch.rs
@@ -87,7 +87,7 @@
     /// Adds the runs of changed workers, and notes the ends seen so far.
     fn collect_workers(&mut self, batch: &mut Batch, records: &mut Vec<Record>) {
         for key in std::mem::take(&mut self.dirty_workers) {
-            let worker = &self.workers[key as usize];
+            let Some(worker) = self.workers.get(key) else { continue };
             let mut runs = Vec::with_capacity(worker.runs.len());
             for (task, run) in &worker.runs {
                 let Some(task_id) = self.task_id(task) else { continue };
@@ -100,17 +100,22 @@
             batch.workers.push((key, lease_left > 0));
             if !runs.is_empty() || worker.recorded {
                 records.push(record::worker(&worker.info.id, &worker.info.addr, runs, lease_left));
-                let worker = &mut self.workers[key as usize];
-                worker.recorded = true;
+                let worker = &mut self.workers[key];
+                worker.recorded = !worker.runs.is_empty();
                 worker.lease_noted |= lease_left > 0;
             }
         }
-        batch.ends = (0..).zip(&self.workers).map(|(key, w)| (key, w.incarnation, w.ends_seen)).collect();
+        batch.ends = self
+            .workers
+            .iter()
+            .filter(|(_, w)| w.ends_seen > w.ends_stored)
+            .map(|(key, w)| (key, w.incarnation, w.ends_seen))
+            .collect();
     }
 
     /// Marks all ends seen as stored; correct only while no record is pending.
     fn acknowledge_all(&mut self) {
-        for worker in &mut self.workers {
+        for worker in self.workers.values_mut() {
             worker.ends_stored = worker.ends_seen;
         }
     }
@@ -119,13 +124,15 @@
     pub(crate) fn batch_stored(&mut self) {
         let Some(batch) = self.in_flight.take() else { return };
         for (key, incarnation, seen) in batch.ends {
-            let worker = &mut self.workers[key as usize];
+            let Some(worker) = self.workers.get_mut(key) else { continue };
             if worker.incarnation == incarnation {
                 worker.ends_stored = worker.ends_stored.max(seen);
             }
         }
         for (key, lease_noted) in batch.workers {
-            self.workers[key as usize].lease_noted = lease_noted;
+            if let Some(worker) = self.workers.get_mut(key) {
+                worker.lease_noted = lease_noted;
+            }
         }
         self.pending_starts.extend(batch.starts);
         for key in batch.jobs.into_iter().chain(batch.new_jobs) {
@@ -148,7 +155,13 @@
                 job.cancel_requests.push(request_id);
             }
         }
-        self.dirty_workers.extend(batch.workers.into_iter().map(|(key, _)| key));
+        for (key, _) in batch.workers {
+            if let Some(worker) = self.workers.get_mut(key) {
+                // The log still holds what it held before.
+                worker.recorded = true;
+                self.dirty_workers.insert(key);
+            }
+        }
         self.dirty_jobs.extend(batch.jobs.into_iter().filter(|k| self.jobs.contains_key(k)));
         let newer = std::mem::replace(&mut self.deletions, batch.deletions);
         self.deletions.extend(newer);
--- a/components/shard/src/cancel.rs
+++ b/components/shard/src/cancel.rs
@@ -4,7 +4,7 @@
 use crate::job::TaskRef;
 use crate::model::Verdict;
 use crate::state::Shard;
-use crate::worker::{Reachability, RunPhase, StopCause};
+use crate::worker::{Reachability, RunPhase, StopCause, WorkerKey};
 
 impl Shard {
     pub(crate) fn cancel(&mut self, request_id: u64, id: &str) {
@@ -24,8 +24,8 @@
 
     /// Sends stop requests, again after each stop interval until the worker confirms the stop.
     pub(crate) fn send_stops(&mut self) {
-        let mut stops: Vec<(usize, TaskRef)> = Vec::new();
-        for (key, worker) in self.workers.iter().enumerate() {
+        let mut stops: Vec<(WorkerKey, TaskRef)> = Vec::new();
+        for (key, worker) in self.workers.iter() {
             if worker.removed || worker.reachability == Reachability::Unknown {
                 continue;
             }
@@ -72,7 +72,7 @@
 
     /// Stops runs that belong to no task of this shard.
     fn stop_unknown_runs(&mut self) {
-        for worker in &mut self.workers {
+        for worker in self.workers.values_mut() {
             for (task_id, run) in std::mem::take(&mut worker.unknown_runs) {
                 self.actions.push(Action::Stop {
                     worker: worker.info.id.clone(),
--- a/components/shard/src/completion.rs
+++ b/components/shard/src/completion.rs
@@ -15,13 +15,13 @@
 impl Shard {
     /// Handles the end of a run that a worker reports.
     pub(crate) fn run_ended(&mut self, key: WorkerKey, end: &RunEnd) {
-        let worker = &mut self.workers[key as usize];
+        let worker = &mut self.workers[key];
         if end.sequence <= worker.ends_seen {
             return;
         }
         worker.ends_seen = end.sequence;
         let Some(task) = self.task_ref(&end.task_id) else { return };
-        let current = self.workers[key as usize].runs.get(&task).is_some_and(|r| r.number == end.run);
+        let current = self.workers[key].runs.get(&task).is_some_and(|r| r.number == end.run);
         let run = if current { self.remove_run(key, &task) } else { None };
         if !end.checkpoint.is_empty() {
             self.with_task(&task, |t| t.checkpoint.clone_from(&end.checkpoint));
@@ -69,7 +69,7 @@
     }
 
     fn task_done(&mut self, key: WorkerKey, task: &TaskRef) {
-        self.workers[key as usize].failure_streak = 0;
+        self.workers[key].failure_streak = 0;
         let Some(job) = self.jobs.get(&task.step_ref.job) else { return };
         let Some(step) = job.spec.steps.get(task.step_ref.step as usize) else { return };
         if step.long_running {
@@ -88,7 +88,7 @@
 
     fn mark_done(&mut self, task: &TaskRef) {
         if let Some(TaskState::Placed(other)) = self.task_state(task)
-            && let Some(run) = self.workers[other as usize].runs.get_mut(task)
+            && let Some(run) = self.workers.get_mut(other).and_then(|w| w.runs.get_mut(task))
         {
             run.stop(StopCause::Superseded);
         }
@@ -159,21 +159,27 @@
         job.ended_at = wall_ms;
         tracing::info!(job = %job.spec.id, queue = %job.spec.queue, ?verdict, "shard: job ended");
         self.dirty_jobs.insert(key);
-        self.ready_steps.retain(|s| s.job != key);
+        self.repeated_jobs.remove(&key);
+        let first = StepRef { job: key, occurrence: 0, step: 0 };
+        let last = StepRef { job: key, occurrence: u32::MAX, step: u32::MAX };
+        let ready: Vec<StepRef> = self.ready_steps.range(first..=last).copied().collect();
+        for step_ref in ready {
+            self.ready_steps.remove(&step_ref);
+        }
     }
 
     /// Removes a run from its worker's table and releases its quota.
     pub(crate) fn remove_run(&mut self, key: WorkerKey, task: &TaskRef) -> Option<Run> {
-        let run = self.workers[key as usize].remove_run(task)?;
+        let run = self.workers.get_mut(key)?.remove_run(task)?;
         self.uncharge(&run);
         Some(run)
     }
 
     /// Removes all runs of a worker, which ended without a report, and requeues their tasks.
     pub(crate) fn drop_lost_runs(&mut self, key: WorkerKey, reason: &str) {
-        let tasks: Vec<TaskRef> = self.workers[key as usize].runs.keys().copied().collect();
+        let tasks: Vec<TaskRef> = self.workers[key].runs.keys().copied().collect();
         if !tasks.is_empty() {
-            tracing::info!(worker = %self.workers[key as usize].info.id, runs = tasks.len(), why = reason, "shard: runs lost");
+            tracing::info!(worker = %self.workers[key].info.id, runs = tasks.len(), why = reason, "shard: runs lost");
         }
         for task in tasks {
             self.remove_run(key, &task);
@@ -183,14 +189,14 @@
         }
         // Updates the worker's record, so that a later owner does not wait for these runs.
         self.dirty_workers.insert(key);
-        self.workers[key as usize].unknown_runs.clear();
+        self.workers[key].unknown_runs.clear();
     }
 
     /// Makes a task wait for a new run, unless it is done or still has one. Ended jobs get no new runs.
     pub(crate) fn requeue(&mut self, task: TaskRef, not_before: Ms) {
         let unchanged = match self.task_state(&task) {
             Some(TaskState::Done) | None => true,
-            Some(TaskState::Placed(key)) => self.workers[key as usize].runs.contains_key(&task),
+            Some(TaskState::Placed(key)) => self.workers.get(key).is_some_and(|w| w.runs.contains_key(&task)),
             Some(TaskState::Waiting) => false,
         };
         if unchanged {
@@ -208,9 +214,13 @@
         }
     }
 
-    pub(crate) fn task_state(&self, task: &TaskRef) -> Option<TaskState> {
+    pub(crate) fn task(&self, task: &TaskRef) -> Option<&Task> {
         let occurrence = self.jobs.get(&task.step_ref.job)?.occurrence(task.step_ref.occurrence)?;
-        Some(occurrence.steps.get(task.step_ref.step as usize)?.tasks.get(task.index as usize)?.state)
+        occurrence.steps.get(task.step_ref.step as usize)?.tasks.get(task.index as usize)
+    }
+
+    pub(crate) fn task_state(&self, task: &TaskRef) -> Option<TaskState> {
+        Some(self.task(task)?.state)
     }
 
     pub(crate) fn set_task_state(&mut self, task: &TaskRef, state: TaskState) {
--- a/components/shard/src/drain.rs
+++ b/components/shard/src/drain.rs
@@ -14,13 +14,13 @@
 impl Shard {
     pub(crate) fn set_cordoned(&mut self, id: &str, cordoned: bool) {
         if let Some(key) = self.worker_key(id) {
-            self.workers[key as usize].cordoned = cordoned;
+            self.workers[key].cordoned = cordoned;
         }
     }
 
     pub(crate) fn set_maintenance_due(&mut self, service: &str, workers: &[String]) {
         let due: HashSet<&String> = workers.iter().collect();
-        for worker in self.workers.iter_mut().filter(|w| w.info.service == service) {
+        for worker in self.workers.values_mut().filter(|w| w.info.service == service) {
             worker.maintenance_due = due.contains(&worker.info.id);
         }
     }
@@ -29,7 +29,7 @@
     #[must_use]
     pub fn remaining_runs(&self, id: &str) -> Option<usize> {
         let Some(key) = self.worker_key(id) else { return Some(0) };
-        let worker = &self.workers[key as usize];
+        let worker = &self.workers[key];
         if worker.removed {
             return Some(0);
         }
@@ -42,22 +42,20 @@
     /// once, which takes much of a wave's time.
     pub(crate) fn drain_workers(&mut self) {
         for cordoned in [true, false] {
-            for key in 0..u32::try_from(self.workers.len()).unwrap_or(0) {
-                let worker = &self.workers[key as usize];
-                let drains =
-                    if cordoned { worker.cordoned } else { worker.maintenance_due && !worker.cordoned };
-                if drains && !worker.removed {
-                    self.drain_worker(key);
-                }
+            let drains = |w: &Worker| if cordoned { w.cordoned } else { w.maintenance_due && !w.cordoned };
+            let draining = self.workers.iter().filter(|(_, w)| drains(w) && !w.removed && !w.runs.is_empty());
+            let keys: Vec<WorkerKey> = draining.map(|(key, _)| key).collect();
+            for key in keys {
+                self.drain_worker(key);
             }
         }
     }
 
     fn drain_worker(&mut self, key: WorkerKey) {
-        let tasks: Vec<TaskRef> = self.workers[key as usize].runs.keys().copied().collect();
+        let tasks: Vec<TaskRef> = self.workers[key].runs.keys().copied().collect();
         for task in tasks {
             if self.can_evict(key, &task)
-                && let Some(run) = self.workers[key as usize].runs.get_mut(&task)
+                && let Some(run) = self.workers[key].runs.get_mut(&task)
             {
                 run.stop(StopCause::Maintenance);
             }
@@ -66,7 +64,7 @@
 
     /// Whether a run may be stopped for maintenance now.
     fn can_evict(&self, key: WorkerKey, task: &TaskRef) -> bool {
-        let Some(run) = self.workers[key as usize].runs.get(task) else { return false };
+        let Some(run) = self.workers[key].runs.get(task) else { return false };
         let Some(job) = self.jobs.get(&task.step_ref.job) else { return false };
         let Some(spec) = job.spec.steps.get(task.step_ref.step as usize) else { return false };
         if !matches!(run.phase, RunPhase::Running(_)) {
@@ -76,7 +74,7 @@
             let budget = (spec.disruption_budget as usize).max(1);
             return self.unavailable_tasks(task) < budget && self.fits_elsewhere(key, task);
         }
-        self.workers[key as usize].cordoned
+        self.workers[key].cordoned
             && spec.checkpointing
             && run.progress_percent < NEARLY_DONE_PERCENT
             && self.fits_elsewhere(key, task)
@@ -92,7 +90,7 @@
         };
         let serving = |index: u32, key: WorkerKey| {
             let other = TaskRef { step_ref: task.step_ref, index };
-            let worker = &self.workers[key as usize];
+            let Some(worker) = self.workers.get(key) else { return false };
             // The last report of an unreachable worker may be outdated, and a stop that an earlier owner
             // requested may still be in progress.
             let known = worker.reachability == Reachability::Reachable && self.prior_stops_done(worker);
@@ -117,9 +115,8 @@
     fn fits_elsewhere(&self, from: WorkerKey, task: &TaskRef) -> bool {
         let Some(job) = self.jobs.get(&task.step_ref.job) else { return false };
         let Some(spec) = job.spec.steps.get(task.step_ref.step as usize) else { return false };
-        let before_cordon = !self.workers[from as usize].cordoned;
-        let suitable =
-            |to: WorkerKey| to != from && !(before_cordon && self.workers[to as usize].maintenance_due);
-        self.choose_worker(task, spec, &[]).is_some_and(suitable)
+        let before_cordon = !self.workers[from].cordoned;
+        let suitable = |to: WorkerKey| to != from && !(before_cordon && self.workers[to].maintenance_due);
+        self.choose_worker(task, spec, None).is_some_and(suitable)
     }
 }
--- a/components/shard/src/health.rs
+++ b/components/shard/src/health.rs
@@ -24,7 +24,7 @@
     /// Attributes failures to a worker, and backs it off at the threshold.
     pub(crate) fn count_failures(&mut self, key: WorkerKey, count: u32) {
         let now = self.now;
-        let worker = &mut self.workers[key as usize];
+        let worker = &mut self.workers[key];
         worker.failure_streak += count;
         if worker.failure_streak >= FAILURE_THRESHOLD {
             worker.backoff_until = now + FAILURE_BACKOFF_MS;
@@ -37,7 +37,7 @@
     /// Backs a worker off after a start that it refused or that was not sent.
     pub(crate) fn back_off(&mut self, key: WorkerKey, reply: StartReply) {
         let now = self.now;
-        let worker = &mut self.workers[key as usize];
+        let worker = &mut self.workers[key];
         tracing::debug!(worker = %worker.info.id, ?reply, "shard: start refused");
         if reply == StartReply::NotSent {
             worker.reachability = Reachability::Unreachable;
@@ -49,7 +49,7 @@
     /// from one another do not each wait for the longest lease.
     pub(crate) fn note_leases(&mut self) {
         let now = self.now;
-        for (key, worker) in (0..).zip(&mut self.workers) {
+        for (key, worker) in self.workers.iter_mut() {
             let silent = !worker.runs.is_empty() && worker.lease_left(now) > 0;
             if silent && now >= worker.lease_noted_at + LEASE_NOTE_INTERVAL_MS {
                 worker.lease_noted_at = now;
@@ -60,14 +60,14 @@
 
     /// Drops the runs of workers that have not answered until their leases have certainly expired.
     pub(crate) fn expire_leases(&mut self) {
-        for key in 0..u32::try_from(self.workers.len()).unwrap_or(u32::MAX) {
-            let worker = &self.workers[key as usize];
-            let silent = worker.reachability != Reachability::Reachable || worker.polling;
-            if worker.runs.is_empty() || !silent || worker.lease_end == 0 || self.now < worker.lease_end {
-                continue;
-            }
+        let expired = self.workers.iter().filter(|(_, w)| {
+            let silent = w.reachability != Reachability::Reachable || w.polling;
+            !w.runs.is_empty() && silent && w.lease_end != 0 && self.now >= w.lease_end
+        });
+        let keys: Vec<WorkerKey> = expired.map(|(key, _)| key).collect();
+        for key in keys {
             self.drop_lost_runs(key, "lease expired");
-            let worker = &mut self.workers[key as usize];
+            let worker = &mut self.workers[key];
             worker.reachability = Reachability::Unreachable;
             worker.clock = None;
         }
@@ -77,7 +77,7 @@
     /// Stops stalled runs, so that their tasks start elsewhere.
     pub(crate) fn stop_stalled_runs(&mut self, key: WorkerKey) {
         let now = self.now;
-        let worker = &self.workers[key as usize];
+        let worker = &self.workers[key];
         let stalled: Vec<TaskRef> = worker
             .runs
             .iter()
@@ -87,7 +87,7 @@
             .collect();
         for task in &stalled {
             let task_id = self.task_id(task).map(|n| n.to_string());
-            let worker = &mut self.workers[key as usize];
+            let worker = &mut self.workers[key];
             if let Some(run) = worker.runs.get_mut(task) {
                 run.stop(StopCause::Stalled);
                 tracing::info!(worker = %worker.info.id, task = task_id, percent = run.progress_percent, "shard: run makes no progress");
--- a/components/shard/src/lib.rs
+++ b/components/shard/src/lib.rs
@@ -14,6 +14,7 @@
 mod arrivals;
 mod batch;
 mod cancel;
+mod candidates;
 mod completion;
 mod drain;
 mod health;
@@ -29,6 +30,7 @@
 mod throttle;
 mod view;
 mod worker;
+mod worker_table;
 
 pub use io::{Action, Input, StartReply, StartRequest, Timing};
 pub use model::{JobSpec, Repeat, Resources, StepSpec, TaskId, Verdict};
--- a/components/shard/src/placement.rs
+++ b/components/shard/src/placement.rs
@@ -1,21 +1,20 @@
 //! Placement of tasks on workers.
 
+use crate::candidates::Pass;
 use crate::io::{Action, StartRequest};
 use crate::job::{StepRef, TaskRef, TaskState};
-use crate::model::{Resources, StepSpec, Verdict};
+use crate::model::{StepSpec, Verdict};
 use crate::state::Shard;
 use crate::worker::{Reachability, Run, RunPhase, WorkerKey};
 
 /// Run numbers set aside for each epoch: an owner starts numbering at the distance between its epoch and the
 /// job's, times this, so that its runs come after those of earlier owners.
 const RUNS_PER_EPOCH: u64 = 16;
-/// Utilization of a full worker.
-const FULL_LOAD_PERMILLE: u64 = 1_000;
 /// Steps that lack capacity after which a pass ends.
 const MAX_UNPLACED_STEPS: usize = 24;
 
 /// Cost of a worker for a task, the most significant part first: the task failed there, other rack than
-/// preferred, due for maintenance, runs that interfere, unused share.
+/// preferred, due for maintenance, runs that interfere, free processor time.
 type Cost = (bool, bool, bool, u64, u64);
 
 /// Result of placing one task.
@@ -31,20 +30,41 @@
         if self.ready_steps.is_empty() {
             return;
         }
-        let mut reserved: Vec<WorkerKey> = Vec::new();
+        let mut pass = self.placement_pass();
         let mut failed = 0;
         for step_ref in self.ranked_steps() {
             if failed >= MAX_UNPLACED_STEPS {
                 break;
             }
-            if !self.place_step(step_ref, &mut reserved) {
+            if !self.may_fit(step_ref, &pass) {
+                continue;
+            }
+            if !self.place_step(step_ref, &mut pass) {
                 failed += 1;
             }
         }
     }
 
+    /// Workers that can take tasks now.
+    fn placement_pass(&self) -> Pass {
+        let mut pass = Pass::default();
+        for (key, worker) in self.workers.iter() {
+            if worker.schedulable(self.now) && !self.zones_out.contains(&worker.info.zone) {
+                pass.add(key, worker);
+            }
+        }
+        pass
+    }
+
+    /// False for a step whose tasks are larger than every worker. Such steps keep no others waiting.
+    fn may_fit(&self, step_ref: StepRef, pass: &Pass) -> bool {
+        let Some(job) = self.jobs.get(&step_ref.job) else { return true };
+        let Some(spec) = job.spec.steps.get(step_ref.step as usize) else { return true };
+        pass.candidates(&job.spec.service).is_some_and(|c| c.may_fit(&spec.reservation()))
+    }
+
     /// Places the waiting tasks of a step; false if capacity was short.
-    fn place_step(&mut self, step_ref: StepRef, reserved: &mut Vec<WorkerKey>) -> bool {
+    fn place_step(&mut self, step_ref: StepRef, pass: &mut Pass) -> bool {
         let Some(job) = self.jobs.get(&step_ref.job).filter(|j| j.verdict == Verdict::Open) else {
             self.ready_steps.remove(&step_ref);
             return true;
@@ -65,17 +85,17 @@
             .map(|(i, _)| i)
             .collect();
         if spec.gang {
-            return self.place_gang(step_ref, &spec, &tasks, reserved);
+            return self.place_gang(step_ref, &spec, &tasks, pass);
         }
         for index in tasks {
-            match self.place_task(TaskRef { step_ref, index }, &spec, reserved) {
+            match self.place_task(TaskRef { step_ref, index }, &spec, pass) {
                 Placement::Placed => {}
                 Placement::OverQuota => {
                     self.quota_limited = true;
                     return true;
                 }
                 Placement::NoCapacity => {
-                    self.reserve_worker(step_ref, &spec, reserved);
+                    self.reserve_worker(step_ref, &spec, pass);
                     return false;
                 }
             }
@@ -84,26 +104,21 @@
     }
 
     /// Places all tasks of a gang, or none.
-    fn place_gang(
-        &mut self,
-        step_ref: StepRef,
-        spec: &StepSpec,
-        tasks: &[u32],
-        reserved: &[WorkerKey],
-    ) -> bool {
+    fn place_gang(&mut self, step_ref: StepRef, spec: &StepSpec, tasks: &[u32], pass: &mut Pass) -> bool {
         if tasks.len() < spec.count as usize {
             return true;
         }
         let mut placed = Vec::new();
         for &index in tasks {
             let task = TaskRef { step_ref, index };
-            match self.place_task(task, spec, reserved) {
+            match self.place_task(task, spec, pass) {
                 Placement::Placed => placed.push(task),
                 Placement::NoCapacity | Placement::OverQuota => {
                     for task in placed {
                         if let Some(TaskState::Placed(key)) = self.task_state(&task) {
                             self.remove_run(key, &task);
                             self.requeue(task, self.now);
+                            pass.refresh(key, &self.workers[key]);
                         }
                     }
                     return false;
@@ -132,23 +147,32 @@
                 t.checkpoint.clone_from(&checkpoint);
             });
             if let Some(TaskState::Placed(key)) = self.task_state(task)
-                && let Some(entry) = self.workers[key as usize].runs.get_mut(task)
+                && let Some(entry) = self.workers[key].runs.get_mut(task)
             {
                 entry.number = run;
             }
         }
     }
 
-    fn place_task(&mut self, task: TaskRef, spec: &StepSpec, reserved: &[WorkerKey]) -> Placement {
+    fn place_task(&mut self, task: TaskRef, spec: &StepSpec, pass: &mut Pass) -> Placement {
         if !self.within_quota(&task, spec) {
             return Placement::OverQuota;
         }
-        match self.choose_worker(&task, spec, reserved) {
+        match self.choose_candidate(&task, spec, pass) {
             Some(key) => {
+                debug_assert_eq!(
+                    Some(key),
+                    self.choose_worker(&task, spec, Some(pass)),
+                    "as without the index"
+                );
                 self.plan_run(task, key);
+                pass.refresh(key, &self.workers[key]);
                 Placement::Placed
             }
-            None => Placement::NoCapacity,
+            None => {
+                debug_assert_eq!(None, self.choose_worker(&task, spec, Some(pass)), "as without the index");
+                Placement::NoCapacity
+            }
         }
     }
 
@@ -163,26 +187,46 @@
         (charged + spec.charge()).fits(quotas)
     }
 
+    /// Returns the worker with the lowest cost that has capacity for a task, out of the candidates of a pass.
+    fn choose_candidate(&self, task: &TaskRef, spec: &StepSpec, pass: &Pass) -> Option<WorkerKey> {
+        if spec.long_running || spec.best_effort || spec.latency_target > 0 {
+            return self.choose_worker(task, spec, Some(pass));
+        }
+        let job = self.jobs.get(&task.step_ref.job)?;
+        let avoided = &self.task(task)?.avoided_workers;
+        let candidates = pass.candidates(&job.spec.service)?;
+        let reservation = spec.reservation();
+        let suits = |key: &WorkerKey| {
+            !pass.reserved.contains(key)
+                && reservation.fits(&self.workers[*key].available())
+                && self.eligible(*key, &task.step_ref, spec, &job.spec.service)
+                && !self.probe_in_progress(*key)
+        };
+        let in_rack = || candidates.tightest_in_rack(&spec.preferred_rack, reservation.cpu);
+        let anywhere = || candidates.tightest(reservation.cpu);
+        let first = in_rack().find(|k| !avoided.contains(k) && suits(k));
+        let first = first.or_else(|| anywhere().find(|k| !avoided.contains(k) && suits(k)));
+        if first.is_some() || avoided.is_empty() {
+            return first;
+        }
+        in_rack().find(suits).or_else(|| anywhere().find(suits))
+    }
+
     /// Returns the worker with the lowest cost that has capacity for a task.
     pub(crate) fn choose_worker(
         &self,
         task: &TaskRef,
         spec: &StepSpec,
-        reserved: &[WorkerKey],
+        pass: Option<&Pass>,
     ) -> Option<WorkerKey> {
         let job = self.jobs.get(&task.step_ref.job)?;
-        let entry = job
-            .occurrence(task.step_ref.occurrence)?
-            .steps
-            .get(task.step_ref.step as usize)?
-            .tasks
-            .get(task.index as usize)?;
+        let entry = self.task(task)?;
         let reservation = spec.reservation();
         let mut best: Option<(Cost, WorkerKey)> = None;
-        for (key, worker) in (0..).zip(&self.workers) {
+        for (key, worker) in self.workers.iter() {
             if !worker.schedulable(self.now)
                 || !reservation.fits(&worker.available())
-                || reserved.contains(&key)
+                || pass.is_some_and(|p| p.reserved.contains(&key))
             {
                 continue;
             }
@@ -194,7 +238,6 @@
             // A long-running task would soon have to move again.
             let due = spec.long_running && worker.maintenance_due;
             // Tasks are bin-packed, so that whole machines stay free for other pools.
-            let unused = FULL_LOAD_PERMILLE.saturating_sub(utilization(&worker.used, &worker.info.capacity));
             let interference = if spec.best_effort {
                 worker.runs.values().filter(|r| r.latency_target > 0).count() as u64
             } else if spec.latency_target > 0 {
@@ -202,7 +245,7 @@
             } else {
                 0
             };
-            let cost = (avoided, other_rack, due, interference, unused);
+            let cost = (avoided, other_rack, due, interference, worker.available().cpu);
             if best.as_ref().is_none_or(|(c, _)| cost < *c) {
                 best = Some((cost, key));
             }
@@ -212,7 +255,7 @@
 
     /// Whether constraints other than capacity allow a task of the step on a worker.
     fn eligible(&self, key: WorkerKey, step_ref: &StepRef, spec: &StepSpec, service: &str) -> bool {
-        let worker = &self.workers[key as usize];
+        let worker = &self.workers[key];
         if worker.info.service != service || self.zones_out.contains(&worker.info.zone) {
             return false;
         }
@@ -226,23 +269,21 @@
     /// Whether a worker that failed recently has a start pending. It gets one start at a time until a task
     /// completes.
     fn probe_in_progress(&self, key: WorkerKey) -> bool {
-        let worker = &self.workers[key as usize];
+        let worker = &self.workers[key];
         worker.failure_streak >= 2
             && worker.runs.values().any(|r| matches!(r.phase, RunPhase::Planned | RunPhase::Sent))
     }
 
     /// Reserves the worker with the most free capacity that could run the step, for the rest of the pass.
-    fn reserve_worker(&self, step_ref: StepRef, spec: &StepSpec, reserved: &mut Vec<WorkerKey>) {
+    fn reserve_worker(&self, step_ref: StepRef, spec: &StepSpec, pass: &mut Pass) {
         let Some(job) = self.jobs.get(&step_ref.job) else { return };
-        let best = (0..)
-            .zip(&self.workers)
-            .filter(|(k, w)| {
-                w.schedulable(self.now) && spec.reservation().fits(&w.info.capacity) && !reserved.contains(k)
-            })
-            .filter(|(k, _)| self.eligible(*k, &step_ref, spec, &job.spec.service))
-            .max_by_key(|(_, w)| w.available().cpu)
-            .map(|(k, _)| k);
-        reserved.extend(best);
+        let Some(candidates) = pass.candidates(&job.spec.service) else { return };
+        let best = candidates.emptiest().find(|k| {
+            spec.reservation().fits(&self.workers[*k].info.capacity)
+                && !pass.reserved.contains(k)
+                && self.eligible(*k, &step_ref, spec, &job.spec.service)
+        });
+        pass.reserved.extend(best);
     }
 
     /// Plans a run. Its start request is sent once the log has recorded it.
@@ -259,7 +300,7 @@
         run.phase = RunPhase::Planned;
         self.set_task_state(&task, TaskState::Placed(key));
         self.charge(&run);
-        self.workers[key as usize].insert_run(task, run);
+        self.workers[key].insert_run(task, run);
         self.dirty_workers.insert(key);
     }
 
@@ -267,7 +308,7 @@
     pub(crate) fn send_starts(&mut self) {
         for (key, task, number) in std::mem::take(&mut self.pending_starts) {
             let planned = |r: &&Run| r.number == number && r.phase == RunPhase::Planned;
-            if self.workers[key as usize].runs.get(&task).filter(planned).is_none() {
+            if self.workers.get(key).and_then(|w| w.runs.get(&task)).filter(planned).is_none() {
                 continue;
             }
             if let Some(request) = self.start_request(key, &task, number) {
@@ -291,7 +332,7 @@
             .tasks
             .get(task.index as usize)?;
         let (checkpoint, payload) = (entry.checkpoint.clone(), job.spec.payload.clone());
-        let worker = &mut self.workers[key as usize];
+        let worker = &mut self.workers[key];
         let zone_out = self.zones_out.contains(&worker.info.zone);
         if zone_out
             || worker.removed
@@ -317,9 +358,3 @@
         })
     }
 }
-
-/// Utilization of a worker in thousandths: that of processors or memory, whichever is higher.
-fn utilization(used: &Resources, capacity: &Resources) -> u64 {
-    let permille = |used: u64, total: u64| (used * 1_000).checked_div(total).unwrap_or(0);
-    permille(used.cpu, capacity.cpu).max(permille(used.mem, capacity.mem))
-}
--- a/components/shard/src/recovery.rs
+++ b/components/shard/src/recovery.rs
@@ -51,8 +51,6 @@
             capacity: crate::Resources::default(),
             ready: false,
         };
-        let key = u32::try_from(self.workers.len()).unwrap_or(u32::MAX);
-        self.worker_keys.insert(info.id.clone(), key);
         let mut worker = Worker::new(info, self.now);
         worker.recorded = true;
         worker.listed = false;
@@ -61,7 +59,7 @@
             worker.lease_noted = true;
             worker.lease_end = worker.lease_end.min(self.now + record.lease_left);
         }
-        self.workers.push(worker);
+        let key = self.workers.insert(worker);
         for run in &record.runs {
             let task = TaskId::parse(&run.task_id).and_then(|n| self.task_ref(&n));
             if let Some(task) = task {
@@ -76,7 +74,7 @@
         match self.task_state(&task) {
             Some(TaskState::Done) => return,
             Some(TaskState::Placed(other)) => {
-                if self.workers[other as usize].runs.get(&task).is_some_and(|r| r.number >= number) {
+                if self.run_number(other, &task) >= number {
                     return;
                 }
                 self.remove_run(other, &task);
@@ -87,7 +85,7 @@
         let Some(mut run) = self.new_run(&task, number) else { return };
         run.phase = RunPhase::Inherited;
         self.charge(&run);
-        self.workers[key as usize].insert_run(task, run);
+        self.workers[key].insert_run(task, run);
         self.set_task_state(&task, TaskState::Placed(key));
         self.with_task(&task, |t| t.last_run = t.last_run.max(number));
         if let Some(job) = self.jobs.get_mut(&task.step_ref.job) {
--- a/components/shard/src/report.rs
+++ b/components/shard/src/report.rs
@@ -78,14 +78,14 @@
     /// Updates a worker's incarnation, clock and reachability.
     fn record_contact(&mut self, key: WorkerKey, report: &WorkerReport) {
         let restarted = {
-            let worker = &self.workers[key as usize];
+            let worker = &self.workers[key];
             worker.incarnation != 0 && worker.incarnation != report.incarnation
         };
         if restarted {
             self.drop_lost_runs(key, "worker restarted");
         }
         let now = self.now;
-        let worker = &mut self.workers[key as usize];
+        let worker = &mut self.workers[key];
         if restarted || worker.incarnation == 0 {
             worker.incarnation = report.incarnation;
             worker.ends_seen = 0;
@@ -108,17 +108,17 @@
     fn reconcile(&mut self, key: WorkerKey, sent: Ms, running: &[RunStatus]) {
         let now = self.now;
         let mut reported: HashMap<TaskRef, u32> = HashMap::new();
-        self.workers[key as usize].unknown_runs.clear();
+        self.workers[key].unknown_runs.clear();
         for status in running {
             let Some(task) = self.task_ref(&status.task_id).filter(|t| self.knows_task(t)) else {
-                self.workers[key as usize].unknown_runs.push((status.task_id.clone(), status.run));
+                self.workers[key].unknown_runs.push((status.task_id.clone(), status.run));
                 continue;
             };
             reported.insert(task, status.run);
             self.observe_run(key, task, status);
         }
         let mut lost = Vec::new();
-        for (task, run) in &mut self.workers[key as usize].runs {
+        for (task, run) in &mut self.workers[key].runs {
             if reported.get(task) == Some(&run.number) {
                 continue;
             }
@@ -133,7 +133,7 @@
         }
         for task in lost {
             let task_id = self.task_id(&task).map(|n| n.to_string());
-            tracing::info!(worker = %self.workers[key as usize].info.id, task = task_id, "shard: run disappeared without reporting its end");
+            tracing::info!(worker = %self.workers[key].info.id, task = task_id, "shard: run disappeared without reporting its end");
             self.remove_run(key, &task);
             self.requeue(task, now);
         }
@@ -148,13 +148,13 @@
     /// Updates a run from a report; adopts it if it is not in the worker's table.
     fn observe_run(&mut self, key: WorkerKey, task: TaskRef, status: &RunStatus) {
         let now = self.now;
-        let known = self.workers[key as usize].runs.get(&task).map(|r| r.number);
+        let known = self.workers[key].runs.get(&task).map(|r| r.number);
         if known.is_none_or(|n| n < status.run) {
             self.adopt_run(key, task, status.run);
         }
-        let Some(run) = self.workers[key as usize].runs.get_mut(&task) else { return };
+        let Some(run) = self.workers[key].runs.get_mut(&task) else { return };
         if run.number != status.run {
-            self.workers[key as usize].unknown_runs.push((status.task_id.clone(), status.run));
+            self.workers[key].unknown_runs.push((status.task_id.clone(), status.run));
             return;
         }
         if matches!(run.phase, RunPhase::Sent | RunPhase::Unconfirmed(_) | RunPhase::Inherited)
@@ -187,7 +187,7 @@
         if keep {
             if let Some(TaskState::Placed(other)) = state
                 && other != key
-                && let Some(old) = self.workers[other as usize].runs.get_mut(&task)
+                && let Some(old) = self.workers.get_mut(other).and_then(|w| w.runs.get_mut(&task))
             {
                 old.stop(StopCause::Superseded);
             }
@@ -199,15 +199,15 @@
         } else {
             run.stop(StopCause::Superseded);
         }
-        if let Some(old) = self.workers[key as usize].remove_run(&task) {
+        if let Some(old) = self.workers[key].remove_run(&task) {
             self.uncharge(&old);
         }
         self.charge(&run);
-        self.workers[key as usize].insert_run(task, run);
+        self.workers[key].insert_run(task, run);
     }
 
-    fn run_number(&self, key: WorkerKey, task: &TaskRef) -> u32 {
-        self.workers[key as usize].runs.get(task).map_or(0, |r| r.number)
+    pub(crate) fn run_number(&self, key: WorkerKey, task: &TaskRef) -> u32 {
+        self.workers.get(key).and_then(|w| w.runs.get(task)).map_or(0, |r| r.number)
     }
 
     pub(crate) fn new_run(&self, task: &TaskRef, number: u32) -> Option<Run> {
@@ -241,9 +241,9 @@
         let Some(key) = self.worker_key(id) else { return };
         if replaced {
             self.drop_lost_runs(key, "another incarnation answers at the address");
-            self.workers[key as usize].removed = true;
+            self.workers[key].removed = true;
         }
-        let worker = &mut self.workers[key as usize];
+        let worker = &mut self.workers[key];
         worker.polling = false;
         worker.reachability = if worker.reachability == Reachability::Unknown {
             Reachability::Unknown
@@ -256,7 +256,7 @@
     pub(crate) fn start_answered(&mut self, id: &str, task_id: &TaskId, number: u32, reply: StartReply) {
         let (Some(key), Some(task)) = (self.worker_key(id), self.task_ref(task_id)) else { return };
         let now = self.now;
-        let Some(run) = self.workers[key as usize].runs.get_mut(&task).filter(|r| r.number == number) else {
+        let Some(run) = self.workers[key].runs.get_mut(&task).filter(|r| r.number == number) else {
             return;
         };
         match reply {
@@ -285,10 +285,10 @@
     pub(crate) fn stop_confirmed(&mut self, id: &str, task_id: &TaskId, number: u32) {
         let (Some(key), Some(task)) = (self.worker_key(id), self.task_ref(task_id)) else { return };
         let now = self.now;
-        if let Some(run) = self.workers[key as usize].runs.get_mut(&task).filter(|r| r.number == number) {
+        if let Some(run) = self.workers[key].runs.get_mut(&task).filter(|r| r.number == number) {
             run.phase = RunPhase::Stopped(now);
             // Poll at once to collect its end.
-            self.workers[key as usize].poll_at = now;
+            self.workers[key].poll_at = now;
         }
     }
 }
--- a/components/shard/src/state.rs
+++ b/components/shard/src/state.rs
@@ -9,7 +9,8 @@
 use crate::job::{Job, JobKey, StepRef, TaskRef};
 use crate::model::Resources;
 use crate::record::Record;
-use crate::worker::{Reachability, Worker, WorkerKey};
+use crate::worker::{Reachability, WorkerKey};
+use crate::worker_table::WorkerTable;
 
 /// Waiting steps above which a shard is backlogged; more than the tasks that current pools run at once.
 const BACKLOG_STEPS: usize = 256;
@@ -26,14 +27,16 @@
     /// Keys of the jobs by id.
     pub(crate) job_keys: HashMap<String, JobKey>,
     pub(crate) next_job_key: JobKey,
-    pub(crate) workers: Vec<Worker>,
-    /// Indices into `workers` by id.
-    pub(crate) worker_keys: HashMap<String, WorkerKey>,
+    pub(crate) workers: WorkerTable,
     pub(crate) zones_out: HashSet<String>,
     /// Quotas by customer.
     pub(crate) quotas: HashMap<String, Resources>,
     /// Amounts charged to customers for their runs.
     pub(crate) quota_used: HashMap<String, Resources>,
+    /// Repeated jobs that have not ended.
+    pub(crate) repeated_jobs: BTreeSet<JobKey>,
+    /// When expired jobs are next looked for.
+    pub(crate) expiry_due: Ms,
     /// Steps with tasks to start.
     pub(crate) ready_steps: BTreeSet<StepRef>,
     /// Jobs with changes that are not stored.
@@ -70,11 +73,12 @@
             jobs: HashMap::new(),
             job_keys: HashMap::new(),
             next_job_key: 0,
-            workers: Vec::new(),
-            worker_keys: HashMap::new(),
+            workers: WorkerTable::default(),
             zones_out: HashSet::new(),
             quotas: HashMap::new(),
             quota_used: HashMap::new(),
+            repeated_jobs: BTreeSet::new(),
+            expiry_due: 0,
             ready_steps: BTreeSet::new(),
             dirty_jobs: HashSet::new(),
             dirty_workers: HashSet::new(),
@@ -160,7 +164,7 @@
 
     /// Polls each worker that is due.
     fn send_polls(&mut self) {
-        for worker in &mut self.workers {
+        for worker in self.workers.values_mut() {
             if worker.removed || worker.polling || self.now < worker.poll_at {
                 continue;
             }
@@ -190,7 +194,7 @@
     }
 
     pub(crate) fn worker_key(&self, id: &str) -> Option<WorkerKey> {
-        self.worker_keys.get(id).copied()
+        self.workers.key(id)
     }
 
     pub(crate) fn task_ref(&self, task_id: &crate::TaskId) -> Option<TaskRef> {
--- a/components/shard/src/throttle.rs
+++ b/components/shard/src/throttle.rs
@@ -27,7 +27,7 @@
     pub(crate) fn adjust_speed(&mut self, key: WorkerKey) {
         let now = self.now;
         let pressure = self.latency_pressure(key);
-        let worker = &mut self.workers[key as usize];
+        let worker = &mut self.workers[key];
         let mut changes: Vec<(TaskRef, u32, u32)> = Vec::new();
         for (task, run) in &mut worker.runs {
             if !run.best_effort
@@ -50,14 +50,14 @@
         }
         for (task, run, percent) in changes {
             let Some(task_id) = self.task_id(&task) else { continue };
-            let worker = &self.workers[key as usize];
+            let worker = &self.workers[key];
             let (id, addr) = (worker.info.id.clone(), worker.info.addr.clone());
             self.actions.push(Action::Throttle { worker: id, addr, task_id, run, percent });
         }
     }
 
     fn latency_pressure(&self, key: WorkerKey) -> LatencyPressure {
-        let worker = &self.workers[key as usize];
+        let worker = &self.workers[key];
         let serving = || worker.runs.values().filter(|r| r.latency_target > 0);
         if serving().any(|r| r.metric * 100 > r.latency_target * SLOW_DOWN_PERCENT) {
             LatencyPressure::High
--- a/components/shard/src/view.rs
+++ b/components/shard/src/view.rs
@@ -60,6 +60,12 @@
         })
     }
 
+    /// Number of workers in the shard's table.
+    #[must_use]
+    pub fn worker_count(&self) -> usize {
+        self.workers.values().count()
+    }
+
     /// Number of accepted jobs of a queue that have not started.
     #[must_use]
     pub fn queued_jobs(&self, queue: &str) -> usize {
@@ -101,7 +107,7 @@
     pub fn service_load(&self, service: &str, lead: Ms, largest_cpu: u64) -> ServiceLoad {
         let arriving = self.arrivals.get(service).map_or(0.0, |a| a.forecast(self.now, lead));
         let mut load = ServiceLoad { expected: to_ms(arriving), ..ServiceLoad::default() };
-        for worker in &self.workers {
+        for worker in self.workers.values() {
             let zone_out = self.zones_out.contains(&worker.info.zone);
             if worker.info.service != service || zone_out || !worker.schedulable(self.now) {
                 continue;
--- a/components/shard/tests/fleet/extremes.rs
+++ b/components/shard/tests/fleet/extremes.rs
@@ -88,3 +88,15 @@
     fleet.advance(100);
     expect_that!(fleet.shard.service_load("quotes", 1_800, 4_000).demand, eq(2_000));
 }
+
+#[gtest]
+fn tasks_that_fit_no_worker_keep_no_other_task_waiting() {
+    let mut fleet = Fleet::new(2, 4_000);
+    for n in 0..60 {
+        fleet.submit(JobSpec { target: 60_000, ..job(&format!("huge{n}"), vec![step(2, 64_000)]) });
+    }
+    fleet.advance(50);
+    fleet.submit(JobSpec { target: 60_000, ..job("plain", vec![step(2, 1_000)]) });
+    fleet.advance(1_000);
+    expect_that!(fleet.job_state("plain"), some(eq(JobState::Completed)));
+}
--- a/components/shard/tests/fleet/failures.rs
+++ b/components/shard/tests/fleet/failures.rs
@@ -1,6 +1,6 @@
 //! Loss of owners, workers and replies: no task may run twice or be lost.
 
-use crate::support::{Fleet, TIMING, job, long_running, step};
+use crate::support::{FakeWorker, Fleet, TIMING, job, long_running, step, worker_info};
 use googletest::prelude::*;
 use shard::{Input, JobState, RunOutcome, StepSpec, TaskId};
 
@@ -291,3 +291,29 @@
     expect_that!(fleet.workers[&id].lease_end, gt(lease_end));
     expect_that!(fleet.workers[&id].running.len(), eq(1));
 }
+
+#[gtest]
+fn workers_that_have_left_take_no_room_in_the_table() {
+    let mut fleet = Fleet::new(4, 4_000);
+    fleet.work_ms = 100;
+    for n in 4..60 {
+        fleet.submit(job(&format!("j{n}"), vec![step(8, 1_000)]));
+        fleet.advance(400);
+        // A machine moves away, and another one comes.
+        let left = fleet.listed.remove(0);
+        fleet.workers.get_mut(&left.id).expect("a worker").unreachable = true;
+        let id = format!("w{n}");
+        fleet.listed.push(worker_info(&id, 4_000));
+        fleet.workers.insert(id, FakeWorker { incarnation: 1, ..FakeWorker::default() });
+        fleet.send_worker_list();
+        fleet.advance(100);
+    }
+    // A worker's lease lasts for a dozen of these moves.
+    expect_that!(fleet.shard.worker_count(), lt(4 + 20));
+    fleet.advance(8_000);
+    fleet.send_worker_list();
+    fleet.advance(100);
+    fleet.send_worker_list();
+    expect_that!(fleet.shard.worker_count(), eq(4));
+    expect_that!(fleet.log.keys().filter(|k| k.starts_with("w:")).count(), le(4));
+}
