Calls to the store that change nothing when repeated are sent again while their answer is late

Cause: a shard has one batch on its way; when its answer was lost the shard stood still for the 600 ms of the call's timeout, and new jobs were refused after 400 ms. A lost answer to a join took 600 ms and a pause of 400 of the 1,350 ms that a membership lasts, so two in a row ended the ownership of all shards.

Change: relay::repeat sends an append or a join again each 150 ms without an answer, four at most, and takes the first certain one. An append names its epoch and sequence number and is answered like the first; a join is idempotent, and its validity counts from the first sending. A result is 'not run' only if no call can have run.

Ruled out: a shorter timeout, which fails on a slow store (answers of 240 ms).

--- a/components/relay/src/coordinator_log.rs
+++ b/components/relay/src/coordinator_log.rs
@@ -6,6 +6,7 @@
 use shard::Record;
 
 use crate::platform::{AppendReply, Store};
+use crate::repeat;
 
 /// Partition and epoch under which the coordinator's records are stored.
 pub struct LogTarget<'a> {
@@ -56,7 +57,8 @@
 
     async fn append_once(&mut self, target: &LogTarget<'_>, record: Record) -> bool {
         let records = [record];
-        match target.store.append(target.partition, target.epoch, self.sequence + 1, &records).await {
+        match repeat::append(target.store, target.partition, target.epoch, self.sequence + 1, &records).await
+        {
             Ok(AppendReply::Stored) => {
                 self.sequence += 1;
                 return true;
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -20,6 +20,7 @@
 mod partition;
 pub mod platform;
 mod rate_limiter;
+mod repeat;
 mod standby;
 mod worker_list;
 
--- a/components/relay/src/membership.rs
+++ b/components/relay/src/membership.rs
@@ -7,6 +7,7 @@
 
 use crate::clock::monotonic_ms;
 use crate::platform::{Assignment, Store};
+use crate::repeat;
 use crate::standby::Role;
 
 /// Time in milliseconds after which the store removes a member that has not joined again.
@@ -52,7 +53,7 @@
         let sent_at = monotonic_ms();
         let generation = membership.borrow().assignment.generation;
         let requested = *role.borrow();
-        match store.join(&member, generation, requested).await {
+        match repeat::join(&*store, &member, generation, requested).await {
             Ok(assignment) => {
                 if disconnected || assignment != membership.borrow().assignment {
                     tracing::info!(
--- a/components/relay/src/owner.rs
+++ b/components/relay/src/owner.rs
@@ -16,6 +16,7 @@
 use crate::node::{EPOCHS_PER_GENERATION, Node};
 use crate::partition;
 use crate::platform::{AppendReply, Poll, PollReply, Store, Workers};
+use crate::repeat;
 use crate::worker_list::WorkerList;
 
 /// Longest time between two steps.
@@ -438,7 +439,7 @@
             let mut not_stored = true;
             let mut attempts = 0;
             let input = loop {
-                match store.append(partition, epoch, sequence, &records).await {
+                match repeat::append(&*store, partition, epoch, sequence, &records).await {
                     Ok(AppendReply::Stored) => break Some(Input::Stored),
                     Ok(AppendReply::Fenced | AppendReply::WrongSequence(_)) => break None,
                     Ok(AppendReply::Busy) => {
--- a/components/relay/src/partition.rs
+++ b/components/relay/src/partition.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::platform::{AppendReply, KeyedRecords, Store};
+use crate::repeat;
 
 /// Pause before a call to the store is retried.
 pub const RETRY_PAUSE: Duration = Duration::from_millis(100);
@@ -19,7 +20,7 @@
         if !is_assigned() {
             return None;
         }
-        match store.append(partition, epoch, 0, &[]).await {
+        match repeat::append(store, partition, epoch, 0, &[]).await {
             Ok(AppendReply::Stored | AppendReply::WrongSequence(_)) => break,
             Ok(AppendReply::Fenced) => return None,
             Ok(AppendReply::Busy) | Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
--- a/components/relay/tests/daemons/main.rs
+++ b/components/relay/tests/daemons/main.rs
@@ -256,3 +256,17 @@
     let outcome = daemon.node.submit(job(1), CALL_TIMEOUT).await;
     assert_that!(outcome, eq(Outcome::Refused));
 }
+
+#[tokio::test]
+async fn a_lost_answer_of_the_store_does_not_hold_up_a_job_until_the_call_times_out() {
+    let (platform, daemons) = start_fleet(1).await;
+    submit_job(&daemons[0].node, 1).await;
+    wait_for_completion(&daemons[0].node, 1).await;
+    platform.state.lock().lost_answers = 1;
+    let start = std::time::Instant::now();
+    let outcome = daemons[0].node.submit(job(2), CALL_TIMEOUT).await;
+    assert_that!(outcome, eq(Outcome::Done));
+    assert_that!(start.elapsed(), lt(platform::STORE_TIMEOUT));
+    wait_for_completion(&daemons[0].node, 2).await;
+    assert_that!(platform.state.lock().lost_answers, eq(0));
+}
--- a/components/relay/tests/daemons/platform.rs
+++ b/components/relay/tests/daemons/platform.rs
@@ -17,6 +17,8 @@
 };
 
 /// Number of partitions; the last one is the coordinator's.
+/// Time after which a call without an answer fails.
+pub const STORE_TIMEOUT: Duration = Duration::from_millis(600);
 pub const PARTITIONS: u32 = 4;
 /// Run time of a task in milliseconds.
 pub const TASK_MS: u64 = 60;
@@ -37,6 +39,8 @@
     pub epochs: HashMap<u32, (u64, u64)>,
     /// Members whose calls the store rejects.
     pub rejected: HashSet<String>,
+    /// Number of appends whose answers are lost.
+    pub lost_answers: u32,
     /// Version of the configuration.
     pub version: u64,
     pub workers: HashMap<String, Worker>,
@@ -117,6 +121,38 @@
     }
 }
 
+impl PlatformClient {
+    /// Stores records; a repeated append is answered like the first.
+    fn store_records(
+        &self,
+        partition: u32,
+        epoch: u64,
+        sequence: u64,
+        records: &[Record],
+    ) -> Result<AppendReply, Fault> {
+        let mut state = self.store()?;
+        let (last, next) = state.epochs.get(&partition).copied().unwrap_or_default();
+        if epoch < last {
+            return Ok(AppendReply::Fenced);
+        }
+        if epoch == last && sequence + 1 == next {
+            return Ok(AppendReply::Stored);
+        }
+        if epoch == last && sequence != next {
+            return Ok(AppendReply::WrongSequence(next));
+        }
+        state.epochs.insert(partition, (epoch, sequence + 1));
+        let table = state.partitions.entry(partition).or_default();
+        for record in records {
+            match &record.value {
+                Some(value) => drop(table.insert(record.key.clone(), value.clone())),
+                None => drop(table.remove(&record.key)),
+            }
+        }
+        Ok(AppendReply::Stored)
+    }
+}
+
 impl Store for PlatformClient {
     fn join<'a>(&'a self, member: &'a str, _generation: u64, role: Role) -> Call<'a, Assignment> {
         Box::pin(async move {
@@ -157,23 +193,18 @@
         records: &'a [Record],
     ) -> Call<'a, AppendReply> {
         Box::pin(async move {
-            let mut state = self.store()?;
-            let (last, next) = state.epochs.get(&partition).copied().unwrap_or_default();
-            if epoch < last {
-                return Ok(AppendReply::Fenced);
-            }
-            if epoch == last && sequence != next {
-                return Ok(AppendReply::WrongSequence(next));
-            }
-            state.epochs.insert(partition, (epoch, sequence + 1));
-            let table = state.partitions.entry(partition).or_default();
-            for record in records {
-                match &record.value {
-                    Some(value) => drop(table.insert(record.key.clone(), value.clone())),
-                    None => drop(table.remove(&record.key)),
-                }
+            let lost = {
+                let mut state = self.store()?;
+                let lost = state.lost_answers > 0 && !records.is_empty();
+                state.lost_answers -= u32::from(lost);
+                lost
+            };
+            let answer = self.store_records(partition, epoch, sequence, records)?;
+            if lost {
+                tokio::time::sleep(STORE_TIMEOUT).await;
+                return Err(Fault::may_have_run("no answer"));
             }
-            Ok(AppendReply::Stored)
+            Ok(answer)
         })
     }
 
