An owner checks its membership and grants leases by one reading of the clock

Cause: the driver checked its membership and then read the clock for the step. A host suspended between the two granted leases from the time at which it woke, after the membership had run out. On a worker that the next owner cannot reach, a start sent then runs beyond the time for which that owner waits, and the task is started elsewhere meanwhile.

Change: one reading for both, so that orders of a paused owner end as if it had not been paused.

Shown: two tests with an old owner that acts beside the new one, after pauses of 0.5 to 12 s, on workers that both or only the old one can reach. With a reading after the pause the second fails: a task runs on two workers. The fake workers now fence stops and polls too.

--- a/components/relay/src/membership.rs
+++ b/components/relay/src/membership.rs
@@ -32,7 +32,13 @@
     /// True if the assignment is valid now.
     #[must_use]
     pub fn is_valid(&self) -> bool {
-        monotonic_ms() < self.valid_until
+        self.valid_at(monotonic_ms())
+    }
+
+    /// True if the assignment is valid at a monotonic time.
+    #[must_use]
+    pub const fn valid_at(&self, now: u64) -> bool {
+        now < self.valid_until
     }
 }
 
--- a/components/relay/src/owner.rs
+++ b/components/relay/src/owner.rs
@@ -204,9 +204,12 @@
 
     /// Runs a step of the state machine; returns false if the ownership is lost.
     fn step(&mut self) -> bool {
+        // One reading for the check and for the leases of this step: if the host is suspended after it, the
+        // leases still end as early as if it had not been.
+        let now = monotonic_ms();
         let may_start =
-            self.context.membership.borrow().is_valid() && self.context.worker_list.borrow().is_some();
-        let actions = self.shard.step(monotonic_ms(), wall_ms(), may_start);
+            self.context.membership.borrow().valid_at(now) && self.context.worker_list.borrow().is_some();
+        let actions = self.shard.step(now, wall_ms(), may_start);
         for action in actions {
             if action == Action::OwnershipLost {
                 return false;
--- a/components/shard/tests/fleet/failures.rs
+++ b/components/shard/tests/fleet/failures.rs
@@ -317,3 +317,47 @@
     expect_that!(fleet.shard.worker_count(), eq(4));
     expect_that!(fleet.log.keys().filter(|k| k.starts_with("w:")).count(), le(4));
 }
+
+/// A job's starts are recorded and then the owner pauses; another one takes over. Returns the old owner and when
+/// it read the clock last.
+fn pause_before_the_starts(fleet: &mut Fleet) -> ((shard::Shard, u64), u64) {
+    fleet.work_ms = 60_000;
+    fleet.advance(200);
+    fleet.submit(job("a", vec![step(2, 1_000)]));
+    while fleet.log.keys().all(|k| !k.starts_with("w:")) {
+        fleet.advance(10);
+    }
+    fleet.apply(Input::Stored);
+    let paused_at = fleet.now;
+    (fleet.take_over(), paused_at)
+}
+
+#[gtest]
+fn an_owner_that_was_paused_before_its_starts_runs_nothing_twice() {
+    let mut fleet = Fleet::new(2, 1_000);
+    let (mut old, paused_at) = pause_before_the_starts(&mut fleet);
+    fleet.advance(3_000);
+    fleet.act_as_old_owner(&mut old, paused_at);
+    fleet.advance(3_000);
+    let running: usize = fleet.workers.values().map(|w| w.running.len()).sum();
+    expect_that!(running, eq(2));
+}
+
+#[gtest]
+fn a_paused_owner_runs_nothing_twice_on_workers_that_only_it_can_reach() {
+    for pause in [500, 2_000, 4_900, 7_000, 12_000] {
+        let mut fleet = Fleet::new(4, 1_000);
+        let (mut old, paused_at) = pause_before_the_starts(&mut fleet);
+        let epoch = fleet.epoch;
+        let recorded: Vec<String> =
+            fleet.log.keys().filter_map(|k| Some(k.strip_prefix("w:")?.to_owned())).collect();
+        for id in &recorded {
+            fleet.workers.get_mut(id).expect("a worker").unreachable_from = Some(epoch);
+        }
+        fleet.advance(pause);
+        fleet.act_as_old_owner(&mut old, paused_at);
+        fleet.advance(20_000);
+        let running: usize = fleet.workers.values().map(|w| w.running.len()).sum();
+        expect_that!(running, eq(2), "pause of {pause} ms");
+    }
+}
--- a/components/shard/tests/fleet/support.rs
+++ b/components/shard/tests/fleet/support.rs
@@ -45,6 +45,8 @@
     pub barred_runs: HashMap<String, u32>,
     /// Answers no requests.
     pub unreachable: bool,
+    /// Answers no requests of owners with this epoch or a higher one.
+    pub unreachable_from: Option<u64>,
     /// Its runs fail when their work is done.
     pub failing: bool,
     /// Its runs make no progress.
@@ -155,6 +157,30 @@
         self.send_worker_list();
     }
 
+    /// Replaces the shard by that of a new owner, and returns the old one, which does not know of it.
+    pub fn take_over(&mut self) -> (Shard, u64) {
+        let next = Shard::new(TIMING, self.epoch + 64, self.now, WALL_CLOCK_START_MS + self.now);
+        let old = (std::mem::replace(&mut self.shard, next), self.epoch);
+        self.change_owner();
+        old
+    }
+
+    /// Lets an old owner act once more at its time `now`, which is its last reading of the clock. The log rejects
+    /// its appends, and its answers are of no interest.
+    pub fn act_as_old_owner(&mut self, (shard, epoch): &mut (Shard, u64), now: Ms) {
+        let (answers, polls) = (self.delayed.len(), self.polls.len());
+        let current = std::mem::replace(&mut self.epoch, *epoch);
+        for action in shard.step(now, WALL_CLOCK_START_MS + now, true) {
+            if !matches!(action, Action::Append(_)) {
+                self.perform(action);
+            }
+        }
+        self.epoch = current;
+        self.delayed.truncate(answers);
+        self.polls.truncate(polls);
+        self.assert_single_runs();
+    }
+
     /// Advances the simulated time.
     pub fn advance(&mut self, span: Ms) {
         let end = self.now + span;
@@ -231,7 +257,7 @@
         let (now, epoch, work_ms) = (self.now, self.epoch, self.work_ms);
         let worker = self.workers.get_mut(&request.worker).expect("known worker");
         let task = request.task_id.to_string();
-        let reply = if worker.unreachable {
+        let reply = if worker.is_unreachable(epoch) {
             StartReply::NoAnswer
         } else if worker.fencing_token > epoch {
             StartReply::Fenced
@@ -263,10 +289,12 @@
 
     fn stop(&mut self, id: &str, task_id: &TaskId, run: u32) {
         self.stops.push((id.to_owned(), task_id.to_string()));
+        let epoch = self.epoch;
         let worker = self.workers.get_mut(id).expect("known worker");
-        if worker.unreachable {
+        if worker.is_unreachable(epoch) || worker.fencing_token > epoch {
             return;
         }
+        worker.fencing_token = epoch;
         let text = task_id.to_string();
         worker.barred_runs.insert(text.clone(), run);
         if worker.running.get(&text).is_some_and(|r| r.run == run) {
@@ -280,11 +308,16 @@
     fn poll(&mut self, id: &str, lease_until: Option<u64>, acked: u64, wait: Ms) {
         let (now, epoch) = (self.now, self.epoch);
         let worker = self.workers.get_mut(id).expect("known worker");
-        if worker.unreachable {
+        if worker.is_unreachable(epoch) {
             let input = Input::PollFailed { worker: id.to_owned(), replaced: false, fenced: false };
             self.delayed.push((now + TIMING.request_timeout, input));
             return;
         }
+        if worker.fencing_token > epoch {
+            let input = Input::PollFailed { worker: id.to_owned(), replaced: false, fenced: true };
+            self.delayed.push((now, input));
+            return;
+        }
         worker.fencing_token = worker.fencing_token.max(epoch);
         worker.ended.retain(|e| e.sequence > acked);
         if let Some(lease_until) = lease_until {
@@ -297,7 +330,7 @@
         for _ in 0..self.polls.len() {
             let Some((at, id, sent)) = self.polls.pop_front() else { break };
             let worker = &self.workers[&id];
-            if worker.unreachable {
+            if worker.is_unreachable(self.epoch) {
                 let input = Input::PollFailed { worker: id, replaced: false, fenced: false };
                 self.delayed.push((self.now + TIMING.request_timeout, input));
             } else if self.now >= at || !worker.ended.is_empty() {
@@ -347,6 +380,10 @@
 }
 
 impl FakeWorker {
+    fn is_unreachable(&self, epoch: u64) -> bool {
+        self.unreachable || self.unreachable_from.is_some_and(|from| epoch >= from)
+    }
+
     pub fn end_run(&mut self, task_id: TaskId, run: u32, outcome: RunOutcome) {
         self.ends += 1;
         self.barred_runs.insert(task_id.to_string(), run);
