--- a/components/shard/src/arrivals.rs
+++ b/components/shard/src/arrivals.rs
@@ -9,7 +9,7 @@
 use std::collections::VecDeque;
 
 use crate::Ms;
-use crate::rank::to_float;
+use crate::millis::to_float;
 
 /// Length of the two spans whose rates are compared.
 const SPAN_MS: Ms = 600;
--- a/components/shard/src/lib.rs
+++ b/components/shard/src/lib.rs
@@ -20,6 +20,7 @@
 mod health;
 mod io;
 mod job;
+mod millis;
 mod model;
 mod placement;
 mod rank;
--- a/components/shard/src/rank.rs
+++ b/components/shard/src/rank.rs
@@ -2,6 +2,7 @@
 
 use crate::Ms;
 use crate::job::{Job, Occurrence, Step, StepRef, TaskRef};
+use crate::millis::{to_float, to_ms};
 use crate::model::JobSpec;
 use crate::state::Shard;
 
@@ -96,13 +97,3 @@
         }
     }
 }
-
-#[expect(clippy::cast_precision_loss, reason = "a span in milliseconds")]
-pub(crate) const fn to_float(ms: Ms) -> f64 {
-    ms as f64
-}
-
-#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a time in milliseconds")]
-pub(crate) const fn to_ms(ms: f64) -> Ms {
-    ms as Ms
-}
--- a/components/shard/src/view.rs
+++ b/components/shard/src/view.rs
@@ -3,8 +3,9 @@
 use std::collections::HashMap;
 
 use crate::Ms;
+use crate::millis::to_ms;
 use crate::model::{Resources, Verdict};
-use crate::rank::{Rank, to_ms};
+use crate::rank::Rank;
 use crate::state::Shard;
 
 /// State of a job, as callers see it.
