An owner counts all demand while it does not know the fleet's largest machine

A coordinator of an earlier version does not send the largest machine's CPU, so an owner of this one took it for 0, counted no demand, and pools got no machines for as long as both versions ran. Now 0 is unknown.

Shown: the test of large tasks asks with 0 as well; 0 of 194,000 before.

--- a/components/relay/src/message.rs
+++ b/components/relay/src/message.rs
@@ -65,7 +65,7 @@
     /// Milliseconds until a machine that is ordered now can help.
     #[prost(uint64, tag = "3")]
     pub lead_ms: u64,
-    /// CPU of the fleet's largest machine, in thousandths of a core.
+    /// CPU of the fleet's largest machine, in thousandths of a core; 0 from coordinators that do not tell it.
     #[prost(uint64, tag = "4")]
     pub largest_cpu: u64,
 }
--- a/components/shard/src/view.rs
+++ b/components/shard/src/view.rs
@@ -103,7 +103,7 @@
     }
 
     /// Load of a service's workers. `lead` is the time until a machine that is ordered now can help. Tasks that
-    /// need more than `largest_cpu`, the CPU of the fleet's largest machine, count for nothing.
+    /// need more than `largest_cpu`, the CPU of the fleet's largest machine, count for nothing; 0 if it is unknown.
     #[must_use]
     pub fn service_load(&self, service: &str, lead: Ms, largest_cpu: u64) -> ServiceLoad {
         let arriving = self.arrivals.get(service).map_or(0.0, |a| a.forecast(self.now, lead));
@@ -134,7 +134,7 @@
             if self.rank(job, *step_ref).0 > Rank::OnTime {
                 continue;
             }
-            if spec.reservation().cpu > largest_cpu {
+            if largest_cpu > 0 && spec.reservation().cpu > largest_cpu {
                 continue;
             }
             load.demand =
--- a/components/shard/tests/fleet/extremes.rs
+++ b/components/shard/tests/fleet/extremes.rs
@@ -87,6 +87,8 @@
     fleet.submit(job("b", vec![step(6, 1_000)]));
     fleet.advance(100);
     expect_that!(fleet.shard.service_load("quotes", 1_800, 4_000).demand, eq(2_000));
+    // An earlier version of the coordinator does not tell the largest machine.
+    expect_that!(fleet.shard.service_load("quotes", 1_800, 0).demand, eq(194_000));
 }
 
 #[gtest]
