Owners report jobs at a standstill with what holds them

What callers saw: accepted jobs with nothing running for seconds in calm. The logs of the hosts named no cause: a task that waits for quota, for a cordoned or unpolled worker, or that placement does not reach leaves no line, so the hypotheses of docs/incidents/standing-jobs.md could not be told apart.

The owner looks each second for jobs with a ready task and nothing running, logs the longest wait after 3 s with quota, use and the workers of the service by what makes them unusable, and sets lagoonrelay_standstill_seconds{part,why}.

--- a/components/relay/src/owner.rs
+++ b/components/relay/src/owner.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use quota::{Grant, ShardQuota};
-use shard::{Action, Input, JobSpec, Record, Shard, StartReply, Timing, WorkerInfo};
+use shard::{Action, Input, JobSpec, Obstacle, Record, Shard, Standstill, StartReply, Timing, WorkerInfo};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
 
@@ -33,6 +33,10 @@
 const QUOTA_INTERVAL: Duration = Duration::from_millis(400);
 /// Time limit for the broker's reply.
 const QUOTA_TIMEOUT: Duration = Duration::from_millis(300);
+/// Pause between two looks for jobs at a standstill.
+const STANDSTILL_INTERVAL: Duration = Duration::from_secs(1);
+/// Time in milliseconds after which a standstill is logged; a wait for a machine to arrive is shorter.
+const STANDSTILL_LOG_MS: u64 = 3_000;
 /// Capacity of a shard's channel, in messages.
 const CHANNEL_CAPACITY: usize = 8_192;
 
@@ -138,6 +142,8 @@
     reported_at: Instant,
     /// True until the last quota report is answered.
     report_pending: bool,
+    /// Time of the last look for jobs at a standstill.
+    looked_at: Instant,
 }
 
 impl Driver {
@@ -156,6 +162,7 @@
             quota,
             reported_at: Instant::now(),
             report_pending: false,
+            looked_at: Instant::now(),
         }
     }
 
@@ -190,6 +197,7 @@
                 break;
             }
         }
+        record_standstill(self.partition, None);
         tracing::info!(part = self.partition, epoch = self.shard.epoch(), "owner: shard released");
     }
 
@@ -217,6 +225,7 @@
             self.perform(action);
         }
         self.report_quota();
+        self.report_standstill();
         true
     }
 
@@ -330,6 +339,30 @@
         });
     }
 
+    /// Logs and counts jobs that have a ready task and nothing running, with the cause of the longest wait.
+    fn report_standstill(&mut self) {
+        if self.looked_at.elapsed() < STANDSTILL_INTERVAL {
+            return;
+        }
+        self.looked_at = Instant::now();
+        let found = self.shard.find_standstill();
+        record_standstill(self.partition, found.as_ref());
+        let Some(found) = found.filter(|s| s.elapsed >= STANDSTILL_LOG_MS) else { return };
+        tracing::info!(
+            part = self.partition,
+            task = %found.task,
+            customer = %found.customer,
+            ms = found.elapsed,
+            jobs = found.jobs,
+            why = found.obstacle.label(),
+            needed = ?found.needed,
+            quota = ?found.quota,
+            used = ?found.used,
+            workers = ?found.workers,
+            "owner: job at a standstill"
+        );
+    }
+
     /// Passes the workers of this shard to the state machine.
     fn apply_worker_list(&mut self) {
         let worker_list = self.context.worker_list.borrow_and_update().clone();
@@ -476,6 +509,16 @@
     }
 }
 
+/// Sets the time that the longest standstill of a shard has lasted, by what holds the job.
+fn record_standstill(partition: u32, standstill: Option<&Standstill>) {
+    for obstacle in Obstacle::ALL {
+        let elapsed = standstill.filter(|s| s.obstacle == obstacle).map_or(0, |s| s.elapsed);
+        let labels = [("part", partition.to_string()), ("why", obstacle.label().to_owned())];
+        metrics::gauge!("lagoonrelay_standstill_seconds", &labels)
+            .set(Duration::from_millis(elapsed).as_secs_f64());
+    }
+}
+
 /// Sends an input to the driver.
 async fn send(messages: &mpsc::Sender<Message>, input: Input) {
     // The driver may have ended.
--- a/components/shard/src/placement.rs
+++ b/components/shard/src/placement.rs
@@ -176,7 +176,7 @@
         }
     }
 
-    fn within_quota(&self, task: &TaskRef, spec: &StepSpec) -> bool {
+    pub(crate) fn within_quota(&self, task: &TaskRef, spec: &StepSpec) -> bool {
         let Some(job) = self.jobs.get(&task.step_ref.job) else { return false };
         let tenant = &job.spec.tenant;
         if tenant.is_empty() {
@@ -254,7 +254,13 @@
     }
 
     /// Whether constraints other than capacity allow a task of the step on a worker.
-    fn eligible(&self, key: WorkerKey, step_ref: &StepRef, spec: &StepSpec, service: &str) -> bool {
+    pub(crate) fn eligible(
+        &self,
+        key: WorkerKey,
+        step_ref: &StepRef,
+        spec: &StepSpec,
+        service: &str,
+    ) -> bool {
         let worker = &self.workers[key];
         if worker.info.service != service || self.zones_out.contains(&worker.info.zone) {
             return false;
@@ -268,7 +274,7 @@
 
     /// Whether a worker that failed recently has a start pending. It gets one start at a time until a task
     /// completes.
-    fn probe_in_progress(&self, key: WorkerKey) -> bool {
+    pub(crate) fn probe_in_progress(&self, key: WorkerKey) -> bool {
         let worker = &self.workers[key];
         worker.failure_streak >= 2
             && worker.runs.values().any(|r| matches!(r.phase, RunPhase::Planned | RunPhase::Sent))
--- a/components/shard/src/state.rs
+++ b/components/shard/src/state.rs
@@ -59,6 +59,8 @@
     pub(crate) average_durations: HashMap<String, f64>,
     /// Recent arrivals by service.
     pub(crate) arrivals: HashMap<String, Arrivals>,
+    /// Jobs at a standstill, and since when.
+    pub(crate) standing_since: HashMap<JobKey, Ms>,
 }
 
 impl Shard {
@@ -90,6 +92,7 @@
             quota_limited: false,
             average_durations: HashMap::new(),
             arrivals: HashMap::new(),
+            standing_since: HashMap::new(),
         }
     }
 
--- a/components/shard/tests/fleet/main.rs
+++ b/components/shard/tests/fleet/main.rs
@@ -4,4 +4,5 @@
 mod failures;
 mod jobs;
 mod random_faults;
+mod standstill;
 mod support;
