A limit is granted in parts that cover a task, and what covers none is returned

What callers saw: accepted jobs with nothing running, for good, though workers were idle and the customer had little or nothing running.

Cause: the quota broker divided a customer's limit in proportion to demand, and a shard kept what it was given as long as it had demand. A part can be too small for the next task, can belong to a shard whose workers have no room, or to one whose task fits no worker or exceeds the limit. Shards then wait for each other, and nothing in the system takes a part back. Class: partial allocation held while waiting, without an end.

Change: a shard requests quota only for tasks that nothing else keeps from starting, at most for the free capacity of its workers, and names the need of its next and of its smallest such task. It gives back what covers neither. The report has two more fields; a report without them is handled as before.

The check of limits in the new test counted what owners know, in which an inherited run that has ended counts until its worker is polled. It now counts what runs on the workers, as the rule does.

--- a/components/quota/src/shard_quota.rs
+++ b/components/quota/src/shard_quota.rs
@@ -57,20 +57,22 @@
             let need = usage.used + usage.demand + headroom;
             let held = self.held.entry(customer.clone()).or_default();
             *held = held.min(&need).max(&usage.used);
+            if !(usage.used + usage.least).fits(held) {
+                // What is left covers none of the waiting tasks.
+                *held = usage.used;
+            }
             let requested = need.saturating_sub(held);
             if *held != Resources::default() || requested != Resources::default() {
-                claims.push(Claim { customer: customer.clone(), held: *held, requested });
+                let left = held.saturating_sub(&usage.used);
+                let (next, least) = (usage.next.saturating_sub(&left), usage.least.saturating_sub(&left));
+                claims.push(Claim { customer: customer.clone(), held: *held, requested, next, least });
             }
         }
         // A customer that was removed from the configuration is reported until its tasks have ended.
         for (customer, usage) in
             usage.iter().filter(|(c, u)| !self.limits.contains_key(*c) && u.used != Resources::default())
         {
-            claims.push(Claim {
-                customer: customer.clone(),
-                held: usage.used,
-                requested: Resources::default(),
-            });
+            claims.push(Claim { customer: customer.clone(), held: usage.used, ..Claim::default() });
         }
         Report { shard: self.shard, epoch: self.epoch, sequence: self.sequence, claims }
     }
--- a/components/quota/tests/deployment/main.rs
+++ b/components/quota/tests/deployment/main.rs
@@ -30,6 +30,8 @@
     members: Vec<Member>,
     broker: Broker,
     limits: BTreeMap<String, Resources>,
+    /// Customer of each job, and the CPU of its tasks.
+    jobs: BTreeMap<String, (String, u64)>,
 }
 
 impl Deployment {
@@ -44,11 +46,16 @@
             Member { fleet, quota, reported_at: 0 }
         };
         let members = (0..shards).map(member).collect();
-        let mut made = Self { members, broker: Broker::default(), limits };
+        let mut made = Self { members, broker: Broker::default(), limits, jobs: BTreeMap::new() };
         made.replace_broker();
         made
     }
 
+    fn submit(&mut self, shard: usize, spec: JobSpec) {
+        self.jobs.insert(spec.id.clone(), (spec.tenant.clone(), spec.steps[0].cpu));
+        self.members[shard].fleet.submit(spec);
+    }
+
     fn replace_broker(&mut self) {
         self.broker = Broker::default();
         let shards: BTreeSet<u32> = (0..).take(self.members.len()).collect();
@@ -72,14 +79,16 @@
         }
     }
 
-    /// Checks that no customer has more running than its limit.
+    /// Checks that no customer has more running on the workers than its limit.
     fn check_limits(&self) {
+        let workers = self.members.iter().flat_map(|m| m.fleet.workers.values());
+        let mut used: BTreeMap<&str, u64> = BTreeMap::new();
+        for task in workers.flat_map(|w| w.running.keys()) {
+            let (customer, cpu) = &self.jobs[task.split('.').next().expect("the job's id")];
+            *used.entry(customer).or_default() += cpu;
+        }
         for (customer, limit) in &self.limits {
-            let used: u64 = self
-                .members
-                .iter()
-                .filter_map(|m| m.fleet.shard.usage().get(customer).map(|u| u.used.cpu))
-                .sum();
+            let used = used.get(customer.as_str()).copied().unwrap_or(0);
             assert!(used <= limit.cpu, "{customer} uses {used} of {limit:?}");
         }
     }
@@ -99,7 +108,7 @@
         self.reported_at = self.fleet.now;
         let report = self.quota.next_report(&self.fleet.shard.usage());
         self.fleet.apply(Input::Quotas(self.quota.quotas()));
-        if let Some(grants) = broker.handle_report(&report) {
+        if let Some(grants) = broker.handle_report(self.fleet.now, &report) {
             self.quota.apply_grants(report.sequence, grants);
         }
         self.fleet.apply(Input::Quotas(self.quota.quotas()));
@@ -117,7 +126,7 @@
         member.fleet.work_ms = 2_000;
     }
     for (shard, id) in ["a", "b", "c"].into_iter().enumerate() {
-        made.members[shard].fleet.submit(of_customer("acme", id, vec![step(1, 12_000)]));
+        made.submit(shard, of_customer("acme", id, vec![step(1, 12_000)]));
         made.advance(550);
     }
     made.advance(10_000);
@@ -132,11 +141,11 @@
     for member in &mut made.members {
         member.fleet.work_ms = 60_000;
     }
-    made.members[0].fleet.submit(of_customer("other", "full", vec![step(2, 14_000)]));
+    made.submit(0, of_customer("other", "full", vec![step(2, 14_000)]));
     made.advance(1_000);
-    made.members[0].fleet.submit(of_customer("acme", "waits", vec![step(8, 8_000)]));
+    made.submit(0, of_customer("acme", "waits", vec![step(8, 8_000)]));
     made.advance(2_000);
-    made.members[1].fleet.submit(of_customer("acme", "fits", vec![step(3, 8_000)]));
+    made.submit(1, of_customer("acme", "fits", vec![step(3, 8_000)]));
     made.advance(3_000);
     expect_that!(made.state(1, "fits"), some(eq(JobState::Running)));
     expect_that!(made.members[1].fleet.start_requests.len(), eq(3));
@@ -145,9 +154,9 @@
 #[gtest]
 fn a_task_larger_than_every_worker_takes_no_quota_from_another_shard() {
     let mut made = Deployment::new(2, 2, &[("acme", 24_000)]);
-    made.members[0].fleet.submit(of_customer("acme", "large", vec![step(1, 20_000)]));
+    made.submit(0, of_customer("acme", "large", vec![step(1, 20_000)]));
     made.advance(2_000);
-    made.members[1].fleet.submit(of_customer("acme", "fits", vec![step(1, 14_000)]));
+    made.submit(1, of_customer("acme", "fits", vec![step(1, 14_000)]));
     made.advance(3_000);
     expect_that!(made.state(1, "fits"), some(eq(JobState::Completed)));
 }
@@ -156,9 +165,9 @@
 fn a_large_task_gets_its_quota_beside_a_steady_flow_of_small_ones() {
     let mut made = Deployment::new(2, 3, &[("acme", 20_000)]);
     for n in 0..40 {
-        made.members[0].fleet.submit(of_customer("acme", &format!("small{n}"), vec![step(8, 1_000)]));
+        made.submit(0, of_customer("acme", &format!("small{n}"), vec![step(8, 1_000)]));
         if n == 4 {
-            made.members[1].fleet.submit(of_customer("acme", "large", vec![step(1, 12_000)]));
+            made.submit(1, of_customer("acme", "large", vec![step(1, 12_000)]));
         }
         made.advance(300);
     }
@@ -170,13 +179,13 @@
 #[gtest]
 fn a_task_that_can_not_have_its_quota_for_long_does_not_hold_up_smaller_ones() {
     let mut made = Deployment::new(3, 3, &[("acme", 20_000)]);
-    made.members[0].fleet.submit(support::long_running("lasting", 3, 3_000));
+    made.submit(0, support::long_running("lasting", 3, 3_000));
     let lasting = JobSpec { tenant: "acme".into(), ..support::long_running("served", 3, 3_000) };
-    made.members[0].fleet.submit(lasting);
+    made.submit(0, lasting);
     made.advance(2_000);
-    made.members[1].fleet.submit(of_customer("acme", "large", vec![step(1, 14_000)]));
+    made.submit(1, of_customer("acme", "large", vec![step(1, 14_000)]));
     made.advance(1_000);
-    made.members[2].fleet.submit(of_customer("acme", "small", vec![step(2, 2_000)]));
+    made.submit(2, of_customer("acme", "small", vec![step(2, 2_000)]));
     made.advance(5_000);
     expect_that!(made.state(2, "small"), some(eq(JobState::Completed)));
 }
@@ -221,7 +230,7 @@
                     let (customer, limit) = if first { ("acme", limits.0) } else { ("other", limits.1) };
                     let id = format!("j{n}");
                     let spec = of_customer(customer, &id, vec![step(tasks, cpu.min(limit))]);
-                    made.members[shard].fleet.submit(spec);
+                    made.submit(shard, spec);
                     jobs.push((shard, id, tasks));
                 }
                 Event::ChangeOwner(shard) => made.change_owner(shard),
--- a/components/quota/tests/limits.rs
+++ b/components/quota/tests/limits.rs
@@ -33,7 +33,7 @@
 }
 
 fn usage(used: u64, wanted: u64) -> HashMap<String, Usage> {
-    [("acme".to_owned(), Usage { used: cpu(used), demand: cpu(wanted) })].into()
+    [("acme".to_owned(), Usage { used: cpu(used), demand: cpu(wanted), ..Usage::default() })].into()
 }
 
 fn held_cpu(quota: &ShardQuota) -> u64 {
@@ -43,7 +43,7 @@
 /// Sends a report to the broker and applies its reply.
 fn exchange(broker: &mut Broker, quota: &mut ShardQuota, used: u64, wanted: u64) {
     let report = quota.next_report(&usage(used, wanted));
-    if let Some(grants) = broker.handle_report(&report) {
+    if let Some(grants) = broker.handle_report(0, &report) {
         quota.apply_grants(report.sequence, grants);
     }
 }
@@ -109,8 +109,8 @@
     let mut quota = shard_quota(0, 1);
     let first = quota.next_report(&usage(0, 100));
     let second = quota.next_report(&usage(0, 100));
-    expect_true!(broker.handle_report(&second).is_some());
-    expect_true!(broker.handle_report(&first).is_none());
+    expect_true!(broker.handle_report(0, &second).is_some());
+    expect_true!(broker.handle_report(0, &first).is_none());
 }
 
 /// A message in flight.
@@ -175,7 +175,7 @@
                 Event::End { shard, cpu } => used[shard as usize] = used[shard as usize].saturating_sub(cpu),
                 Event::Deliver(n) if n < in_flight.len() => match in_flight.remove(n) {
                     Message::Report(report) => {
-                        if let Some(grants) = broker.handle_report(&report) {
+                        if let Some(grants) = broker.handle_report(0, &report) {
                             in_flight
                                 .push(Message::Grants(report.shard, report.epoch, report.sequence, grants));
                         }
--- a/components/relay/src/message.rs
+++ b/components/relay/src/message.rs
@@ -108,6 +108,12 @@
     /// Additional quota that the shard could use.
     #[prost(message, required, tag = "3")]
     pub requested: Amounts,
+    /// Part of `requested` that the shard's next task needs.
+    #[prost(message, optional, tag = "4")]
+    pub next: Option<Amounts>,
+    /// Part of `requested` that its smallest waiting task needs.
+    #[prost(message, optional, tag = "5")]
+    pub least: Option<Amounts>,
 }
 
 /// Quotas that a shard's owner holds.
@@ -133,6 +139,8 @@
             customer: c.customer,
             held: c.held.into(),
             requested: c.requested.into(),
+            next: Some(c.next.into()),
+            least: Some(c.least.into()),
         };
         let rows = report.claims.into_iter().map(row).collect();
         Self { partition: report.shard, epoch: report.epoch, sequence: report.sequence, rows }
@@ -145,6 +153,8 @@
             customer: r.customer,
             held: r.held.into(),
             requested: r.requested.into(),
+            next: r.next.unwrap_or_default().into(),
+            least: r.least.unwrap_or_default().into(),
         };
         let claims = report.rows.into_iter().map(claim).collect();
         Self { shard: report.partition, epoch: report.epoch, sequence: report.sequence, claims }
@@ -262,6 +272,8 @@
             customer: g.customer,
             held: g.quota.into(),
             requested: Amounts::default(),
+            next: None,
+            least: None,
         };
         Self { rows: grants.into_iter().map(row).collect(), ..Self::of(ReplyKind::Quota) }
     }
--- a/components/relay/src/node/coordination.rs
+++ b/components/relay/src/node/coordination.rs
@@ -6,6 +6,7 @@
 use quota::Broker;
 
 use super::Node;
+use crate::clock::monotonic_ms;
 use crate::message::{LoadReply, LoadRequest, QuotaReport, Reply, ReplyKind, RequestBody};
 
 impl Node {
@@ -36,7 +37,9 @@
         }
         let shards = partition_map.values().copied().collect();
         slot.1.configure(config.customer_limits(), shards);
-        slot.1.handle_report(&report.into()).map_or(Reply::of(ReplyKind::NotOwner), Reply::quota)
+        slot.1
+            .handle_report(monotonic_ms(), &report.into())
+            .map_or(Reply::of(ReplyKind::NotOwner), Reply::quota)
     }
 
     /// Requests the load of a service's workers, and tells the shard which of them are due for maintenance.
--- a/components/relay/src/owner.rs
+++ b/components/relay/src/owner.rs
@@ -312,6 +312,7 @@
         let desired = self.context.desired.borrow_and_update().clone();
         self.apply(Input::ZonesOut(desired.zones_out));
         let Some(config) = desired.config else { return };
+        self.apply(Input::Limits(config.customer_limits().into_iter().collect()));
         self.quota.configure(config.customer_limits());
         self.apply(Input::Quotas(self.quota.quotas()));
     }
--- a/components/shard/src/io.rs
+++ b/components/shard/src/io.rs
@@ -77,6 +77,8 @@
     ZonesOut(Vec<String>),
     /// Quota of each customer on this shard.
     Quotas(HashMap<String, Resources>),
+    /// Upper limit of each customer on all shards together.
+    Limits(HashMap<String, Resources>),
     /// A worker answered a poll.
     Polled {
         /// Worker's id.
--- a/components/shard/src/placement.rs
+++ b/components/shard/src/placement.rs
@@ -3,8 +3,8 @@
 use crate::candidates::Pass;
 use crate::io::{Action, StartRequest};
 use crate::job::{StepRef, TaskRef, TaskState};
-use crate::model::{StepSpec, Verdict};
-use crate::state::Shard;
+use crate::model::{Resources, StepSpec, Verdict};
+use crate::state::{QuotaShortage, Shard};
 use crate::worker::{Reachability, Run, RunPhase, WorkerKey};
 
 /// Run numbers set aside for each epoch: an owner starts numbering at the distance between its epoch and the
@@ -21,7 +21,10 @@
 enum Placement {
     Placed,
     NoCapacity,
+    /// Only the customer's quota keeps the task from starting.
     OverQuota,
+    /// The quota is too small, and more of it would not start the task.
+    Unplaceable,
 }
 
 impl Shard {
@@ -91,9 +94,10 @@
             match self.place_task(TaskRef { step_ref, index }, &spec, pass) {
                 Placement::Placed => {}
                 Placement::OverQuota => {
-                    self.quota_limited = true;
+                    self.note_quota_shortage(step_ref, spec.charge());
                     return true;
                 }
+                Placement::Unplaceable => return true,
                 Placement::NoCapacity => {
                     self.reserve_worker(step_ref, &spec, pass);
                     return false;
@@ -113,7 +117,10 @@
             let task = TaskRef { step_ref, index };
             match self.place_task(task, spec, pass) {
                 Placement::Placed => placed.push(task),
-                Placement::NoCapacity | Placement::OverQuota => {
+                failure => {
+                    if matches!(failure, Placement::OverQuota) {
+                        self.note_quota_shortage(step_ref, spec.charge().times(u64::from(spec.count)));
+                    }
                     for task in placed {
                         if let Some(TaskState::Placed(key)) = self.task_state(&task) {
                             self.remove_run(key, &task);
@@ -156,7 +163,7 @@
 
     fn place_task(&mut self, task: TaskRef, spec: &StepSpec, pass: &mut Pass) -> Placement {
         if !self.within_quota(&task, spec) {
-            return Placement::OverQuota;
+            return self.classify_quota_shortage(&task, spec, pass);
         }
         match self.choose_candidate(&task, spec, pass) {
             Some(key) => {
@@ -176,6 +183,31 @@
         }
     }
 
+    /// Whether more quota would start a task. Looks for a worker only until a shortage of the customer is known.
+    fn classify_quota_shortage(&self, task: &TaskRef, spec: &StepSpec, pass: &Pass) -> Placement {
+        let Some(job) = self.jobs.get(&task.step_ref.job) else { return Placement::Unplaceable };
+        let allowed = self.limits.get(&job.spec.tenant).is_none_or(|limit| spec.charge().fits(limit));
+        let shortage = self.quota_shortages.get(&job.spec.tenant);
+        let known = shortage.is_some_and(|s| s.least.cpu <= spec.cpu);
+        if allowed && (known || self.choose_candidate(task, spec, pass).is_some()) {
+            Placement::OverQuota
+        } else {
+            Placement::Unplaceable
+        }
+    }
+
+    /// Notes what a customer's tasks need that only quota keeps from starting.
+    fn note_quota_shortage(&mut self, step_ref: StepRef, needed: Resources) {
+        let Some(job) = self.jobs.get(&step_ref.job) else { return };
+        let shortage = self
+            .quota_shortages
+            .entry(job.spec.tenant.clone())
+            .or_insert(QuotaShortage { first: needed, least: needed });
+        if (needed.cpu, needed.mem) < (shortage.least.cpu, shortage.least.mem) {
+            shortage.least = needed;
+        }
+    }
+
     pub(crate) fn within_quota(&self, task: &TaskRef, spec: &StepSpec) -> bool {
         let Some(job) = self.jobs.get(&task.step_ref.job) else { return false };
         let tenant = &job.spec.tenant;
--- a/components/shard/src/state.rs
+++ b/components/shard/src/state.rs
@@ -15,6 +15,15 @@
 /// Waiting steps above which a shard is backlogged; more than the tasks that current pools run at once.
 const BACKLOG_STEPS: usize = 256;
 
+/// What tasks of a customer need that only its quota keeps from starting.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct QuotaShortage {
+    /// Need of the first one in scheduling order.
+    pub first: Resources,
+    /// Need of the smallest one.
+    pub least: Resources,
+}
+
 /// State of one shard under one owner.
 #[derive(Debug)]
 pub struct Shard {
@@ -31,6 +40,8 @@
     pub(crate) zones_out: HashSet<String>,
     /// Quotas by customer.
     pub(crate) quotas: HashMap<String, Resources>,
+    /// Upper limits by customer, of all shards together.
+    pub(crate) limits: HashMap<String, Resources>,
     /// Amounts charged to customers for their runs.
     pub(crate) quota_used: HashMap<String, Resources>,
     /// Repeated jobs that have not ended.
@@ -53,8 +64,8 @@
     pub(crate) actions: Vec<Action>,
     /// A worker has seen a higher fencing token.
     pub(crate) fenced: bool,
-    /// In the last step, a quota kept some task from starting.
-    pub(crate) quota_limited: bool,
+    /// Shortages of quota in the last step, by customer.
+    pub(crate) quota_shortages: HashMap<String, QuotaShortage>,
     /// Moving average of task durations by queue, in milliseconds.
     pub(crate) average_durations: HashMap<String, f64>,
     /// Recent arrivals by service.
@@ -78,6 +89,7 @@
             workers: WorkerTable::default(),
             zones_out: HashSet::new(),
             quotas: HashMap::new(),
+            limits: HashMap::new(),
             quota_used: HashMap::new(),
             repeated_jobs: BTreeSet::new(),
             expiry_due: 0,
@@ -89,17 +101,17 @@
             in_flight: None,
             actions: Vec::new(),
             fenced: false,
-            quota_limited: false,
+            quota_shortages: HashMap::new(),
             average_durations: HashMap::new(),
             arrivals: HashMap::new(),
             standing_since: HashMap::new(),
         }
     }
 
-    /// Whether a quota kept some task from starting in the last step.
+    /// Whether only a quota kept some task from starting in the last step.
     #[must_use]
-    pub const fn quota_limited(&self) -> bool {
-        self.quota_limited
+    pub fn quota_limited(&self) -> bool {
+        !self.quota_shortages.is_empty()
     }
 
     /// Whether so many steps wait that each pass is expensive. A few milliseconds of delay do not matter
@@ -125,6 +137,7 @@
             Input::Workers(list) => self.update_workers(list),
             Input::ZonesOut(zones) => self.zones_out = zones.into_iter().collect(),
             Input::Quotas(quotas) => self.quotas = quotas,
+            Input::Limits(limits) => self.limits = limits,
             Input::Polled { worker, sent, report } => self.poll_answered(&worker, sent, &report),
             Input::PollFailed { worker, replaced, fenced } => self.poll_failed(&worker, replaced, fenced),
             Input::StartResult { worker, task_id, run, reply } => {
@@ -146,7 +159,7 @@
         if self.fenced {
             return vec![Action::OwnershipLost];
         }
-        self.quota_limited = false;
+        self.quota_shortages.clear();
         self.activate_due_occurrences();
         self.expire_leases();
         self.note_leases();
