Shards keep quota for waiting tasks until another shard's task needs it

A shard again asks ahead for all its waiting tasks, at most for its workers' capacity. What it does not use is withdrawn while the limit is kept free for another shard's task: the whole of what is lacking in one round of reports, as the share of the shard whose turn it is no longer counts.

--- a/components/quota/src/broker.rs
+++ b/components/quota/src/broker.rs
@@ -1,6 +1,7 @@
 //! The broker, which divides limits between shards.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::ops::Div;
 
 use shard::Resources;
 
@@ -106,10 +107,9 @@
         }
     }
 
-    /// What is kept free for the shard whose turn it is, if that is another than `shard`.
-    fn reserved_beside(&self, now: u64, shard: u32) -> Resources {
-        let first = self.waiting.front().filter(|s| **s != shard && now < self.turn_since + RESERVATION_MS);
-        first.and_then(|s| self.by_shard.get(s)).map_or_else(Resources::default, |a| a.next)
+    /// Shard for whose next task the limit is kept free.
+    fn turn(&self, now: u64) -> Option<u32> {
+        self.waiting.front().copied().filter(|_| now < self.turn_since + RESERVATION_MS)
     }
 
     /// A shard's quota. Excess over the limit is withdrawn in proportion to what each shard holds, and free quota
@@ -123,17 +123,18 @@
             self.by_shard.values().fold(Resources::default(), |sum, a| sum + amount(a))
         };
         let (held, requested) = (sum(|a| a.held), sum(|a| a.requested));
-        let reserved = self.reserved_beside(now, shard);
-        let excess = (held + reserved).saturating_sub(limit);
-        let free = limit.saturating_sub(&(held + reserved));
-        let kept = own.held - share(&excess, &own.held, &held);
-        let part = share(&free, &own.requested, &requested).min(&own.requested);
-        let in_turn = self.waiting.front() == Some(&shard) && now < self.turn_since + RESERVATION_MS;
+        let turn = self.turn(now);
+        let preferred =
+            turn.filter(|s| *s != shard).and_then(|s| self.by_shard.get(&s)).copied().unwrap_or_default();
+        let excess = (held + preferred.next).saturating_sub(limit);
+        let free = limit.saturating_sub(&(held + preferred.next));
+        let kept = own.held - share(&excess, &own.held, &(held - preferred.held), u128::div_ceil);
+        let part = share(&free, &own.requested, &requested, u128::div).min(&own.requested);
         let added = if own.next.fits(&part) {
             part
         } else if own.next.fits(&free) {
             own.next.max(&part)
-        } else if !in_turn && own.least.fits(&free) {
+        } else if turn != Some(shard) && own.least.fits(&free) {
             own.least.max(&part)
         } else {
             Resources::default()
@@ -155,18 +156,15 @@
     }
 }
 
-/// For each amount, `amount * own / all`, rounded down.
-fn share(amount: &Resources, own: &Resources, all: &Resources) -> Resources {
+/// For each amount, `amount * own / all`, divided by `divide`.
+fn share(amount: &Resources, own: &Resources, all: &Resources, divide: fn(u128, u128) -> u128) -> Resources {
+    let prorate = |amount: u64, own: u64, all: u64| {
+        let part = divide(u128::from(amount) * u128::from(own), u128::from(all.max(1)));
+        u64::try_from(part).unwrap_or(u64::MAX)
+    };
     Resources {
         cpu: prorate(amount.cpu, own.cpu, all.cpu),
         mem: prorate(amount.mem, own.mem, all.mem),
         gpu: prorate(amount.gpu, own.gpu, all.gpu),
     }
 }
-
-fn prorate(amount: u64, own: u64, all: u64) -> u64 {
-    if all == 0 {
-        return 0;
-    }
-    u64::try_from(u128::from(amount) * u128::from(own) / u128::from(all)).unwrap_or(u64::MAX)
-}
--- a/components/shard/src/view.rs
+++ b/components/shard/src/view.rs
@@ -44,9 +44,9 @@
 pub struct Usage {
     /// Charged for runs that are, or may be, on workers.
     pub used: Resources,
-    /// Further demand of tasks that could start with more quota, at most the free capacity of the workers.
+    /// Further demand of waiting tasks, at most the capacity of the workers.
     pub demand: Resources,
-    /// Need of the first such task in scheduling order; zero if there is none.
+    /// Need of the first task in scheduling order that only quota keeps from starting; zero if there is none.
     pub next: Resources,
     /// Need of the smallest such task.
     pub least: Resources,
@@ -89,36 +89,33 @@
             .iter()
             .map(|(t, &used)| (t.clone(), Usage { used, ..Usage::default() }))
             .collect();
-        if self.quota_shortages.is_empty() {
-            return table;
-        }
+        let capacity = self.usable_capacity();
         for step_ref in &self.ready_steps {
             let Some(job) = self.jobs.get(&step_ref.job) else { continue };
-            if !self.quota_shortages.contains_key(&job.spec.tenant) {
-                continue;
-            }
             let Some(step) =
                 job.occurrence(step_ref.occurrence).and_then(|o| o.steps.get(step_ref.step as usize))
             else {
                 continue;
             };
             let Some(spec) = job.spec.steps.get(step_ref.step as usize) else { continue };
+            if job.spec.tenant.is_empty() {
+                continue;
+            }
             let entry = table.entry(job.spec.tenant.clone()).or_default();
-            entry.demand += spec.charge().times(u64::from(step.waiting_count));
+            entry.demand = (entry.demand + spec.charge().times(u64::from(step.waiting_count))).min(&capacity);
         }
-        let free = self.free_capacity();
         for (customer, shortage) in &self.quota_shortages {
             let entry = table.entry(customer.clone()).or_default();
             (entry.next, entry.least) = (shortage.first, shortage.least);
-            entry.demand = entry.demand.min(&free).max(&shortage.first);
+            entry.demand = entry.demand.max(&shortage.first);
         }
         table
     }
 
-    /// Free capacity of the workers that can take tasks.
-    fn free_capacity(&self) -> Resources {
+    /// Capacity of the workers that can take tasks.
+    fn usable_capacity(&self) -> Resources {
         let usable = |w: &&Worker| w.schedulable(self.now) && !self.zones_out.contains(&w.info.zone);
-        self.workers.values().filter(usable).fold(Resources::default(), |sum, w| sum + w.available())
+        self.workers.values().filter(usable).fold(Resources::default(), |sum, w| sum + w.info.capacity)
     }
 
     /// Load of a service's workers. `lead` is the time until a machine that is ordered now can help. Tasks that
