A restarted daemon uses no epoch of its predecessor; an epoch used before is given up

What callers saw: jobs answered 200 that the store does not hold; after the next change of owner they are not found (LOST), and their tasks can run twice.

Cause: a process that restarts while the store refuses calls could not leave the group, went on all the same, and joined under the name of the killed process in its generation. Its epochs then repeated those of the predecessor, and the store answers a repeated sequence number of an epoch with its first answer, storing nothing. The take-over took an unexpected sequence number as proof that it had fenced earlier owners. The coordinator did so too, and then recorded no order any more while it held its partition (a fenced coordinator went on in the same way). Class: an identity that outlives its process.

Change: a daemon joins only once the store has confirmed that it has left, so that its generation is its own; a take-over or append whose sequence number is not the expected one gives the epoch up. Shards and the coordinator append by one function, which retries until the outcome is certain; the coordinator ends with its epoch, so that the next one has another. Its uncertain records were dropped when they were refused, and their number used again; that is gone with it.

--- a/components/relay/src/coordinator.rs
+++ b/components/relay/src/coordinator.rs
@@ -96,7 +96,7 @@
         let mut planner = Planner::new(PlannerConfig::with_move_time(self.move_ms));
         let mut limiter = RateLimiter::new(self.orders_per_s, monotonic_ms());
         tracing::info!(epoch = self.epoch, "duty: coordinator started");
-        while self.node.holds_partition(self.partition, self.epoch) {
+        while !log.lost && self.node.holds_partition(self.partition, self.epoch) {
             let desired = self.node.desired_state();
             for (number, spec) in &desired.waves {
                 waves.start(*number, spec);
@@ -125,7 +125,7 @@
     }
 
     fn target(&self) -> LogTarget<'_> {
-        LogTarget { store: &*self.store, partition: self.partition, epoch: self.epoch }
+        LogTarget { node: &self.node, store: &*self.store, partition: self.partition, epoch: self.epoch }
     }
 
     /// Reads the load of all pools but spare ones from the owners of their shards.
--- a/components/relay/src/coordinator_log.rs
+++ b/components/relay/src/coordinator_log.rs
@@ -2,14 +2,16 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use edge::{Fault, Verdict};
 use shard::Record;
 
-use crate::platform::{AppendReply, Store};
-use crate::repeat;
+use crate::node::Node;
+use crate::partition::{self, Outcome};
+use crate::platform::Store;
 
 /// Partition and epoch under which the coordinator's records are stored.
 pub struct LogTarget<'a> {
+    /// Daemon that is the coordinator.
+    pub node: &'a Node,
     /// The platform's store.
     pub store: &'a dyn Store,
     /// The coordinator's partition.
@@ -23,8 +25,8 @@
 pub struct CoordinatorLog {
     /// Sequence number of the last stored record.
     pub sequence: u64,
-    /// A record that may have been stored, because the reply to its append was lost.
-    pub uncertain: Option<Record>,
+    /// Another coordinator writes to the partition, or this one has given it up.
+    pub lost: bool,
     /// Wall-clock time of the last order for each machine; stored before the order is sent.
     pub orders: BTreeMap<String, u64>,
 }
@@ -44,29 +46,17 @@
         self.orders.iter().map(|(machine, at)| format!("{machine} {at}\n")).collect()
     }
 
-    /// Appends a record and returns whether it is stored. An uncertain record is appended again first, under
-    /// its own sequence number.
+    /// Appends a record and returns whether it is stored.
     pub async fn append(&mut self, target: &LogTarget<'_>, record: Record) -> bool {
-        if let Some(uncertain) = self.uncertain.take()
-            && !self.append_once(target, uncertain).await
-        {
-            return false;
-        }
-        self.append_once(target, record).await
-    }
-
-    async fn append_once(&mut self, target: &LogTarget<'_>, record: Record) -> bool {
-        let records = [record];
-        match repeat::append(target.store, target.partition, target.epoch, self.sequence + 1, &records).await
-        {
-            Ok(AppendReply::Stored) => {
+        let owner = (target.partition, target.epoch);
+        let is_owner = || target.node.holds_partition(target.partition, target.epoch);
+        match partition::append(target.store, owner, self.sequence + 1, &[record], is_owner).await {
+            Outcome::Stored => {
                 self.sequence += 1;
                 return true;
             }
-            Err(Fault { verdict: Verdict::MayHaveRun | Verdict::Ran, .. }) => {
-                self.uncertain = records.into_iter().next();
-            }
-            answer => tracing::info!(?answer, "duty: record not stored"),
+            Outcome::NotStored => tracing::info!("duty: record not stored"),
+            Outcome::Lost => self.lost = true,
         }
         false
     }
--- a/components/relay/src/membership.rs
+++ b/components/relay/src/membership.rs
@@ -14,6 +14,8 @@
 pub const MEMBER_TTL_MS: u64 = 1_500;
 /// Pause between joins; three fit into [`MEMBER_TTL_MS`].
 const JOIN_INTERVAL: Duration = Duration::from_millis(400);
+/// Pause between attempts to leave; a start waits for them.
+const LEAVE_INTERVAL: Duration = Duration::from_millis(150);
 /// Time in milliseconds by which ownership ends before the store can reassign the partitions.
 const EXPIRY_MARGIN_MS: u64 = 150;
 
@@ -50,10 +52,7 @@
     membership: watch::Sender<Membership>,
     mut stop: watch::Receiver<bool>,
 ) {
-    // An earlier incarnation of this daemon may still be a member.
-    if let Err(error) = store.leave(&member).await {
-        tracing::info!(%error, "member: cannot leave the group");
-    }
+    leave_as_predecessor(&*store, &member, &mut stop).await;
     let mut disconnected = false;
     while !*stop.borrow() {
         let sent_at = monotonic_ms();
@@ -96,3 +95,21 @@
     // The daemon still forwards requests, so the tasks that watch the membership run until the process ends.
     membership.closed().await;
 }
+
+/// Leaves the group until the store confirms it. An earlier incarnation of this daemon may still be a member, and
+/// its successor would join in the same generation and so use the same epochs.
+async fn leave_as_predecessor(store: &dyn Store, member: &str, stop: &mut watch::Receiver<bool>) {
+    let mut disconnected = false;
+    while !*stop.borrow() {
+        match store.leave(member).await {
+            Ok(()) => return,
+            Err(error) if !disconnected => tracing::warn!(%error, "member: cannot leave the group"),
+            Err(_) => {}
+        }
+        disconnected = true;
+        tokio::select! {
+            () = tokio::time::sleep(LEAVE_INTERVAL) => {}
+            _ = stop.changed() => {}
+        }
+    }
+}
--- a/components/relay/src/owner.rs
+++ b/components/relay/src/owner.rs
@@ -14,9 +14,8 @@
 use crate::membership::Membership;
 use crate::message::{LoadRequest, Reply, ReplyKind, RequestBody};
 use crate::node::{EPOCHS_PER_GENERATION, Node};
-use crate::partition;
-use crate::platform::{AppendReply, Poll, PollReply, Store, Workers};
-use crate::repeat;
+use crate::partition::{self, Outcome};
+use crate::platform::{Poll, PollReply, Store, Workers};
 use crate::worker_list::WorkerList;
 
 /// Longest time between two steps.
@@ -25,8 +24,6 @@
 const BATCH_WINDOW: Duration = Duration::from_millis(3);
 /// The same while so many steps of jobs wait that each step of the state machine takes longer.
 const BATCH_WINDOW_CROWDED: Duration = Duration::from_millis(12);
-/// Attempts of an append after which the new jobs of its batch are refused, if no attempt can have stored it.
-const APPEND_ATTEMPTS: u32 = 2;
 /// Pause between reports to the quota broker while a start waits for quota.
 const QUOTA_URGENT_INTERVAL: Duration = Duration::from_millis(20);
 /// Pause between reports otherwise; unused quota is returned with this delay.
@@ -466,45 +463,21 @@
         });
     }
 
-    /// Appends a batch, and retries until its outcome is certain.
+    /// Appends a batch.
     fn append(&mut self, records: Vec<Record>) {
         let sequence = self.sequence + 1;
         let (store, messages) = (Arc::clone(&self.context.store), self.messages.clone());
-        let (partition, epoch) = (self.partition, self.shard.epoch());
+        let owner = (self.partition, self.shard.epoch());
         tokio::spawn(async move {
             let started = Instant::now();
-            let mut not_stored = true;
-            let mut attempts = 0;
-            let input = loop {
-                match repeat::append(&*store, partition, epoch, sequence, &records).await {
-                    Ok(AppendReply::Stored) => break Some(Input::Stored),
-                    Ok(AppendReply::Fenced | AppendReply::WrongSequence(_)) => break None,
-                    Ok(AppendReply::Busy) => {
-                        attempts += 1;
-                        if not_stored && attempts >= APPEND_ATTEMPTS {
-                            break Some(Input::NotStored);
-                        }
-                    }
-                    Err(fault) => {
-                        not_stored &= fault.verdict == ::edge::Verdict::NotRun;
-                        attempts += 1;
-                        if not_stored && attempts >= APPEND_ATTEMPTS {
-                            break Some(Input::NotStored);
-                        }
-                    }
-                }
-                tokio::time::sleep(partition::RETRY_PAUSE).await;
-                if messages.is_closed() {
-                    return;
-                }
-            };
+            let is_owner = || !messages.is_closed();
+            let outcome = partition::append(&*store, owner, sequence, &records, is_owner).await;
             metrics::histogram!("lagoonrelay_append_seconds").record(started.elapsed());
-            match input {
-                Some(input) => send(&messages, input).await,
-                None => {
-                    tracing::warn!(part = partition, epoch, "owner: fenced at the log");
-                    drop(messages.send(Message::Stop).await);
-                }
+            match outcome {
+                Outcome::Stored => send(&messages, Input::Stored).await,
+                Outcome::NotStored => send(&messages, Input::NotStored).await,
+                // The driver may have ended.
+                Outcome::Lost => drop(messages.send(Message::Stop).await),
             }
         });
     }
--- a/components/relay/tests/daemons/main.rs
+++ b/components/relay/tests/daemons/main.rs
@@ -2,6 +2,7 @@
 
 mod owner;
 mod platform;
+mod restart;
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -70,6 +71,10 @@
 
 async fn start_daemon(platform: &Arc<Platform>, n: usize, preferred: bool) -> Daemon {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    start_daemon_at(listener, platform, n, preferred)
+}
+
+fn start_daemon_at(listener: TcpListener, platform: &Arc<Platform>, n: usize, preferred: bool) -> Daemon {
     let mesh_addr: SocketAddr = listener.local_addr().expect("an address");
     let member = if preferred { mesh_addr.to_string() } else { format!("{mesh_addr}/standby") };
     let client = Arc::new(PlatformClient { platform: Arc::clone(platform), member: member.clone() });
--- a/components/relay/tests/daemons/platform.rs
+++ b/components/relay/tests/daemons/platform.rs
@@ -16,9 +16,11 @@
     WorkerReport,
 };
 
-/// Number of partitions; the last one is the coordinator's.
 /// Time after which a call without an answer fails.
 pub const STORE_TIMEOUT: Duration = Duration::from_millis(600);
+/// Last appends of an epoch that the store answers again, without storing anything, when they are repeated.
+const REPEATED_APPENDS: u64 = 5;
+/// Number of partitions; the last one is the coordinator's.
 pub const PARTITIONS: u32 = 4;
 /// Run time of a task in milliseconds.
 pub const TASK_MS: u64 = 60;
@@ -135,7 +137,7 @@
         if epoch < last {
             return Ok(AppendReply::Fenced);
         }
-        if epoch == last && sequence + 1 == next {
+        if epoch == last && sequence < next && sequence + REPEATED_APPENDS >= next {
             return Ok(AppendReply::Stored);
         }
         if epoch == last && sequence != next {
