Tests of jobs that have room and stand still for reasons other than quota, which fail

Six tests of a shard in virtual time, each for a way in which accepted jobs stand although a worker has room: a cordon that nobody ends, a rack that crashes and comes back, steps that no worker suits or that lack room and end each pass, and workers kept free for tasks that can never fit there.

--- a/components/shard/tests/fleet/standstill.rs
+++ b/components/shard/tests/fleet/standstill.rs
@@ -1,8 +1,8 @@
-//! What the owner reports of jobs that have a ready task and nothing running.
+//! Jobs that have a ready task and nothing running: what the owner reports of them, and what must not hold them up.
 
-use crate::support::{Fleet, job, step, worker_info};
+use crate::support::{Fleet, TICK_MS, job, long_running, step, worker_info};
 use googletest::prelude::*;
-use shard::{Input, JobSpec, Obstacle, Resources};
+use shard::{Input, JobSpec, JobState, Obstacle, Resources, StepSpec};
 use std::collections::HashMap;
 
 fn of_customer(id: &str, cpu: u64) -> JobSpec {
@@ -60,9 +60,124 @@
     fleet.listed.push(shard::WorkerInfo { ready: false, ..worker_info("w1", 4_000) });
     fleet.workers.insert("w1".into(), crate::support::FakeWorker::default());
     fleet.send_worker_list();
-    fleet.submit(job("a", vec![shard::StepSpec { label: "x".into(), ..step(1, 1_000) }]));
+    fleet.submit(job("a", vec![StepSpec { label: "x".into(), ..step(1, 1_000) }]));
     fleet.advance(100);
     let found = fleet.shard.find_standstill().expect("a standstill");
     expect_that!(found.obstacle, eq(Obstacle::Capacity));
     expect_that!((found.workers.unsuitable, found.workers.unlisted), eq((1, 1)));
 }
+
+/// Time in milliseconds that jobs may have nothing running although a worker has room.
+const STANDSTILL_LIMIT_MS: u64 = 3_000;
+/// Time in milliseconds for which a cordon has to hold without being renewed: the longest time from the last look
+/// at the worker to an order for its machine that takes effect.
+const ORDER_TIME_MS: u64 = 3_000;
+
+fn cordon(fleet: &mut Fleet) {
+    for worker in ["w0", "w1"] {
+        fleet.apply(Input::Cordon { worker: worker.into(), cordoned: true });
+    }
+}
+
+#[gtest]
+fn workers_whose_cordon_nobody_renews_are_used_again() {
+    let mut fleet = Fleet::new(2, 4_000);
+    fleet.advance(100);
+    cordon(&mut fleet);
+    fleet.submit(job("a", vec![step(2, 2_000)]));
+    fleet.advance(ORDER_TIME_MS);
+    expect_that!(fleet.start_requests.len(), eq(0));
+    fleet.advance(STANDSTILL_LIMIT_MS);
+    expect_that!(fleet.job_state("a"), some(eq(JobState::Completed)));
+}
+
+#[gtest]
+fn workers_whose_cordon_is_renewed_get_no_tasks() {
+    let mut fleet = Fleet::new(2, 4_000);
+    fleet.advance(100);
+    fleet.submit(job("a", vec![step(2, 2_000)]));
+    for _ in 0..100 {
+        cordon(&mut fleet);
+        fleet.advance(10 * TICK_MS);
+    }
+    expect_that!(fleet.start_requests.len(), eq(0));
+}
+
+#[gtest]
+fn workers_of_a_rack_that_crash_and_come_back_under_their_ids_are_used_again() {
+    let mut fleet = Fleet::new(4, 4_000);
+    fleet.submit(long_running("a", 4, 1_000));
+    fleet.advance(1_000);
+    expect_that!(fleet.workers.values().filter(|w| !w.running.is_empty()).count(), eq(4));
+    let all = fleet.listed.clone();
+    for id in ["w0", "w1"] {
+        let worker = fleet.workers.get_mut(id).expect("a worker");
+        worker.crash();
+        worker.unreachable = true;
+    }
+    fleet.advance(7_000);
+    fleet.listed.truncate(0);
+    fleet.listed.extend(all.iter().filter(|w| w.id == "w2" || w.id == "w3").cloned());
+    fleet.send_worker_list();
+    fleet.advance(800);
+    for id in ["w0", "w1"] {
+        fleet.workers.get_mut(id).expect("a worker").unreachable = false;
+    }
+    fleet.listed = all;
+    fleet.send_worker_list();
+    fleet.advance(STANDSTILL_LIMIT_MS);
+    expect_that!(fleet.workers.values().filter(|w| !w.running.is_empty()).count(), eq(4));
+}
+
+#[gtest]
+fn steps_whose_label_no_worker_has_hold_up_no_other_job() {
+    let mut fleet = Fleet::new(2, 4_000);
+    let hopeless = StepSpec { label: "x".into(), long_running: true, ..step(1, 1_000) };
+    fleet.submit(job("hopeless", vec![hopeless; 30]));
+    fleet.advance(100);
+    fleet.submit(job("a", vec![step(1, 1_000)]));
+    fleet.advance(STANDSTILL_LIMIT_MS);
+    expect_that!(fleet.job_state("a"), some(eq(JobState::Completed)));
+}
+
+#[gtest]
+fn long_running_steps_that_lack_distinct_workers_hold_up_no_other_job() {
+    let mut fleet = Fleet::new(3, 16_000);
+    for n in 0..30 {
+        fleet.submit(long_running(&format!("lasting{n}"), 5, 100));
+    }
+    fleet.advance(1_000);
+    fleet.submit(job("a", vec![step(1, 1_000)]));
+    fleet.advance(STANDSTILL_LIMIT_MS);
+    expect_that!(fleet.job_state("a"), some(eq(JobState::Completed)));
+}
+
+#[gtest]
+fn steps_of_many_sizes_that_lack_room_hold_up_no_smaller_job() {
+    let mut fleet = Fleet::new(3, 4_000);
+    fleet.work_ms = 60_000;
+    fleet.submit(job("runs", vec![step(3, 3_000)]));
+    fleet.advance(100);
+    for n in 0..30 {
+        fleet.submit(job(&format!("large{n}"), vec![step(1, 1_500 + n * 10)]));
+    }
+    fleet.advance(100);
+    fleet.submit(job("small", vec![step(1, 500)]));
+    fleet.advance(100);
+    expect_that!(fleet.job_state("small"), some(eq(JobState::Running)));
+}
+
+#[gtest]
+fn tasks_that_long_running_ones_leave_no_room_for_keep_no_worker_free() {
+    let mut fleet = Fleet::new(3, 4_000);
+    fleet.submit(long_running("lasting", 3, 1_000));
+    fleet.advance(1_000);
+    for n in 0..6 {
+        fleet.submit(job(&format!("large{n}"), vec![step(1, 3_500)]));
+    }
+    fleet.advance(100);
+    // Eighteen at a time for half a second each; long past the objective, the order is that of acceptance.
+    fleet.submit(job("small", vec![step(600, 500)]));
+    fleet.advance(40_000);
+    expect_that!(fleet.job_state("small"), some(eq(JobState::Completed)));
+}
