A cordon ends unless it is renewed

Cause: the coordinator cordons the workers of machines that it means to move, and the shard kept a cordon until it was told otherwise. Nobody told it when the move was refused for good, when an order was not answered and not carried out, when the coordinator lost its partition between the cordon and the order or ended, or when the request to uncordon was lost or overtaken by a late cordon. A cordoned worker counts neither as idle nor as capacity, so the planner did not take it up again either. Class: state set by one process in another, without an end.

Change: a cordon holds for 5 s from the last request; a wave renews it in each round. Orders for machines are sent within half of that, so that the worker of a machine under order gets no task. A refused or late move uncordons at once.

--- a/components/relay/src/coordinator.rs
+++ b/components/relay/src/coordinator.rs
@@ -13,6 +13,7 @@
 use futures_util::future::join_all;
 use maintenance::{Action, Machine, MachineState, Outcome, Wave};
 use shard::Record;
+use tokio::time::Instant;
 
 use crate::clock::{monotonic_ms, wall_ms};
 use crate::configuration::{Configuration, Wave as WaveSpec};
@@ -31,6 +32,9 @@
 const CLOCK_SKEW_MS: u64 = 500;
 /// Time between the end of a machine's move and its first task: the worker list and the first poll.
 const JOIN_DELAY_MS: u64 = 300;
+/// Longest time from the last cordon of a worker to an order for its machine; leaves time for the order to take
+/// effect before the cordon ends.
+const ORDER_DELAY: Duration = Duration::from_millis(shard::CORDON_MS / 2);
 /// Time limit for a request to a shard's owner.
 const OWNER_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -160,6 +164,7 @@
         let busy = waves.open.values().flat_map(Wave::active).chain(out).cloned().collect();
         let mut planned_moves = planner.plan(monotonic_ms(), machines, loads, spare_pools, &busy);
         planned_moves.truncate(limiter.available());
+        let cordoned_at = Instant::now();
         let drained = join_all(planned_moves.into_iter().map(|m| self.drain_for_move(spare_pools, m))).await;
         let moves: Vec<Move> = drained.into_iter().flatten().collect();
         let recorded = self.record_orders(log, moves.iter().map(|m| m.machine.as_str()).collect()).await;
@@ -169,7 +174,7 @@
             return;
         }
         limiter.take(moves.len());
-        let answers = join_all(moves.iter().map(|m| self.order_move(m))).await;
+        let answers = join_all(moves.iter().map(|m| self.order_move(m, cordoned_at))).await;
         for (planned, outcome) in moves.iter().zip(answers) {
             match outcome {
                 MoveOutcome::Ordered => planner.record_order(monotonic_ms(), planned),
@@ -222,8 +227,9 @@
     }
 
     /// Orders a move, and uncordons the worker if it was not ordered.
-    async fn order_move(&self, planned: &Move) -> MoveOutcome {
-        if !self.node.holds_partition(self.partition, self.epoch) {
+    async fn order_move(&self, planned: &Move, cordoned_at: Instant) -> MoveOutcome {
+        if !self.may_order(cordoned_at) {
+            self.node.uncordon_worker(&planned.from, &planned.worker, OWNER_TIMEOUT).await;
             return MoveOutcome::NotOrdered;
         }
         let answer =
@@ -240,14 +246,22 @@
             Ok(OrderReply::Done) | Err(Fault { verdict: Verdict::MayHaveRun | Verdict::Ran, .. }) => {
                 MoveOutcome::Ordered
             }
-            Ok(OrderReply::Invalid) => MoveOutcome::Invalid,
-            Ok(OrderReply::NotReady) | Err(_) => {
+            Ok(OrderReply::Invalid | OrderReply::NotReady) | Err(_) => {
                 self.node.uncordon_worker(&planned.from, &planned.worker, OWNER_TIMEOUT).await;
-                MoveOutcome::NotOrdered
+                if matches!(answer, Ok(OrderReply::Invalid)) {
+                    MoveOutcome::Invalid
+                } else {
+                    MoveOutcome::NotOrdered
+                }
             }
         }
     }
 
+    /// Whether orders may be sent for machines whose workers were cordoned at a time.
+    fn may_order(&self, cordoned_at: Instant) -> bool {
+        cordoned_at.elapsed() < ORDER_DELAY && self.node.holds_partition(self.partition, self.epoch)
+    }
+
     /// Takes over the coordinator's partition and loads its records.
     async fn take_over(&self) -> Option<(Waves, CoordinatorLog)> {
         let is_assigned = || self.node.holds_partition(self.partition, self.epoch);
@@ -279,6 +293,7 @@
         for number in numbers {
             let Some(wave) = waves.open.get_mut(&number) else { continue };
             wave.observe(monotonic_ms(), machines);
+            let cordoned_at = Instant::now();
             let remaining = self.remaining_runs(wave, snapshot).await;
             if !self.node.holds_partition(self.partition, self.epoch) {
                 return;
@@ -294,8 +309,11 @@
             if recorded {
                 limiter.take(orders.len());
             }
-            let answers =
-                join_all(orders.iter().map(|name| self.order_maintenance(name, number, recorded))).await;
+            let answers = join_all(orders.iter().map(|name| {
+                let may_order = recorded && self.may_order(cordoned_at);
+                self.order_maintenance(name, number, may_order)
+            }))
+            .await;
             for (name, outcome) in orders.iter().zip(answers) {
                 wave.record_outcome(monotonic_ms(), name, outcome);
             }
@@ -315,9 +333,9 @@
         join_all(counts).await.into_iter().flatten().collect()
     }
 
-    /// Orders a machine's maintenance, unless the order could not be recorded.
-    async fn order_maintenance(&self, machine: &str, wave: u64, recorded: bool) -> Outcome {
-        if !recorded || !self.node.holds_partition(self.partition, self.epoch) {
+    /// Orders a machine's maintenance, unless the order could not be recorded or is too late.
+    async fn order_maintenance(&self, machine: &str, wave: u64, may_order: bool) -> Outcome {
+        if !may_order {
             return Outcome::NotStarted;
         }
         let answer = self.machines.start_maintenance(machine, wave, self.node.name(), self.epoch).await;
--- a/components/shard/src/drain.rs
+++ b/components/shard/src/drain.rs
@@ -2,19 +2,24 @@
 
 use std::collections::HashSet;
 
+use crate::Ms;
 use crate::job::{TaskRef, TaskState};
 use crate::state::Shard;
 use crate::worker::{Reachability, RunPhase, StopCause, Worker, WorkerKey};
 
+/// Time in milliseconds after which a cordon ends unless it is renewed. Whoever cordoned the worker may be gone, or
+/// its request to end the cordon lost.
+pub const CORDON_MS: Ms = 5_000;
 /// Checkpointing runs at or above this progress are left to finish.
 const NEARLY_DONE_PERCENT: u32 = 80;
 /// Progress that workers report for a long-running task in service.
 const SERVING_PERCENT: u32 = 100;
 
 impl Shard {
+    /// Cordons a worker, or renews its cordon, or makes it schedulable again.
     pub(crate) fn set_cordoned(&mut self, id: &str, cordoned: bool) {
         if let Some(key) = self.worker_key(id) {
-            self.workers[key].cordoned = cordoned;
+            self.workers[key].cordoned_until = if cordoned { self.now + CORDON_MS } else { 0 };
         }
     }
 
@@ -42,7 +47,8 @@
     /// once, which takes much of a wave's time.
     pub(crate) fn drain_workers(&mut self) {
         for cordoned in [true, false] {
-            let drains = |w: &Worker| if cordoned { w.cordoned } else { w.maintenance_due && !w.cordoned };
+            let now = self.now;
+            let drains = |w: &Worker| w.cordoned(now) == cordoned && (cordoned || w.maintenance_due);
             let draining = self.workers.iter().filter(|(_, w)| drains(w) && !w.removed && !w.runs.is_empty());
             let keys: Vec<WorkerKey> = draining.map(|(key, _)| key).collect();
             for key in keys {
@@ -74,7 +80,7 @@
             let budget = (spec.disruption_budget as usize).max(1);
             return self.unavailable_tasks(task) < budget && self.fits_elsewhere(key, task);
         }
-        self.workers[key].cordoned
+        self.workers[key].cordoned(self.now)
             && spec.checkpointing
             && run.progress_percent < NEARLY_DONE_PERCENT
             && self.fits_elsewhere(key, task)
@@ -115,7 +121,7 @@
     fn fits_elsewhere(&self, from: WorkerKey, task: &TaskRef) -> bool {
         let Some(job) = self.jobs.get(&task.step_ref.job) else { return false };
         let Some(spec) = job.spec.steps.get(task.step_ref.step as usize) else { return false };
-        let before_cordon = !self.workers[from].cordoned;
+        let before_cordon = !self.workers[from].cordoned(self.now);
         let suitable = |to: WorkerKey| to != from && !(before_cordon && self.workers[to].maintenance_due);
         self.choose_worker(task, spec, None).is_some_and(suitable)
     }
--- a/components/shard/src/io.rs
+++ b/components/shard/src/io.rs
@@ -128,7 +128,7 @@
         /// Worker ids.
         workers: Vec<String>,
     },
-    /// Cordons a worker for maintenance, or makes it schedulable again.
+    /// Cordons a worker for [`CORDON_MS`](crate::CORDON_MS), or makes it schedulable again.
     Cordon {
         /// Worker's id.
         worker: String,
--- a/components/shard/src/lib.rs
+++ b/components/shard/src/lib.rs
@@ -34,6 +34,7 @@
 mod worker;
 mod worker_table;
 
+pub use drain::CORDON_MS;
 pub use io::{Action, Input, StartReply, StartRequest, Timing};
 pub use model::{JobSpec, Repeat, Resources, StepSpec, TaskId, Verdict};
 pub use record::{Record, WorkerRecord};
--- a/components/shard/src/placement.rs
+++ b/components/shard/src/placement.rs
@@ -374,7 +374,7 @@
         let zone_out = self.zones_out.contains(&worker.info.zone);
         if zone_out
             || worker.removed
-            || worker.cordoned
+            || worker.cordoned(now)
             || !worker.info.ready
             || worker.reachability != Reachability::Reachable
             || worker.lease_noted
--- a/components/shard/src/standstill.rs
+++ b/components/shard/src/standstill.rs
@@ -125,7 +125,7 @@
             let zone_out = self.zones_out.contains(&worker.info.zone);
             let count = if !worker.listed || !worker.info.ready || zone_out {
                 &mut counts.unlisted
-            } else if worker.cordoned {
+            } else if worker.cordoned(self.now) {
                 &mut counts.cordoned
             } else if !worker.answers() {
                 &mut counts.silent
--- a/components/shard/src/worker.rs
+++ b/components/shard/src/worker.rs
@@ -153,8 +153,8 @@
     pub failure_streak: u32,
     /// No starts before this time.
     pub backoff_until: Ms,
-    /// Gets no new tasks, and is drained for maintenance.
-    pub cordoned: bool,
+    /// Until when it gets no new tasks and is drained; 0 if it is not cordoned.
+    pub cordoned_until: Ms,
     /// Its machine is due for maintenance.
     pub maintenance_due: bool,
     /// Holds no runs of this shard any more: no longer listed, or replaced by another incarnation.
@@ -185,12 +185,17 @@
             poll_at: now,
             failure_streak: 0,
             backoff_until: 0,
-            cordoned: false,
+            cordoned_until: 0,
             maintenance_due: false,
             removed: false,
         }
     }
 
+    /// Whether it gets no new tasks and is drained.
+    pub const fn cordoned(&self, now: Ms) -> bool {
+        now < self.cordoned_until
+    }
+
     /// Capacity that is not reserved.
     pub const fn available(&self) -> Resources {
         self.info.capacity.saturating_sub(&self.used)
@@ -201,7 +206,7 @@
         self.listed
             && self.info.ready
             && !self.removed
-            && !self.cordoned
+            && !self.cordoned(now)
             && self.reachability == Reachability::Reachable
             && self.unknown_runs.is_empty()
             && self.clock.is_some()
