A worker that is listed again under its id and address is used again

What callers saw: tasks of a long-running step stay away; workers of a rack that crashed and came back get no task.

Cause: a worker whose lease has run out and that is no longer listed is marked as removed, and the mark stayed when it was listed again at the same address: that test is for workers at whose address another incarnation answers. It is never polled then, unless the list changed in between and dropped its row.

Change: the mark stays only while the worker has been listed all the time.

Same cause elsewhere: no other mark of a worker outlives its entry.

--- a/components/shard/src/admission.rs
+++ b/components/shard/src/admission.rs
@@ -1,5 +1,7 @@
 //! Admission of jobs, activation of their occurrences, and the list of workers.
 
+use std::collections::HashSet;
+
 use crate::Ms;
 use crate::io::Action;
 use crate::job::{Job, JobKey, Occurrence, StepRef};
@@ -131,18 +133,21 @@
 
     /// Applies the platform's list of workers.
     pub(crate) fn update_workers(&mut self, list: Vec<WorkerInfo>) {
-        for worker in self.workers.values_mut() {
-            worker.listed = false;
-        }
+        let mut unlisted: HashSet<WorkerKey> = self.workers.iter().map(|(key, _)| key).collect();
         for info in list {
-            if let Some(key) = self.worker_key(&info.id) {
-                let worker = &mut self.workers[key];
-                worker.listed = true;
-                worker.removed = worker.removed && worker.info.addr == info.addr;
-                worker.info = info;
+            let Some(key) = self.worker_key(&info.id) else {
+                self.add_worker(info);
                 continue;
-            }
-            self.add_worker(info);
+            };
+            unlisted.remove(&key);
+            let worker = &mut self.workers[key];
+            // It is back, unless another incarnation answers at the address for which it is still listed.
+            worker.removed = worker.removed && worker.listed && worker.info.addr == info.addr;
+            worker.listed = true;
+            worker.info = info;
+        }
+        for key in unlisted {
+            self.workers[key].listed = false;
         }
         self.forget_removed_workers();
     }
