Steps that cannot be placed hold up no others

What callers saw: accepted jobs of a service stand, of all its tenants, though its workers have room for them.

Cause: a pass over the waiting steps ended after 24 steps without room, so that a backlog costs no scan of the workers. Steps that no worker suits (a label that none has, fewer workers than a long-running step may use one of each) and large ones count there and come first for good. Each such step with room in an empty worker also kept one free, though long-running tasks may never leave that room. Class: a bound on work that is taken in a fixed order.

Change: a pass looks at every waiting step. It skips, without a scan, steps that no worker could take and those at least as large as one that lacked room in this pass. At most half of the workers are kept free for steps that lack room, and only those whose room will come once tasks that end have ended.

--- a/components/shard/src/candidates.rs
+++ b/components/shard/src/candidates.rs
@@ -18,6 +18,8 @@
     by_rack: HashMap<String, ByFree>,
     /// Largest amounts that a worker offers when it is empty.
     largest: Resources,
+    /// Amounts for which no worker has room; none of them fits another.
+    full_for: Vec<Resources>,
 }
 
 /// State of one placement pass.
@@ -31,9 +33,14 @@
 }
 
 impl Candidates {
-    /// Whether a worker could take the tasks if it were empty.
-    pub const fn may_fit(&self, reservation: &Resources) -> bool {
-        reservation.fits(&self.largest)
+    /// Whether a worker could take the tasks if it were empty, and no smaller ones have been without room.
+    pub fn may_fit(&self, reservation: &Resources) -> bool {
+        reservation.fits(&self.largest) && !self.full_for.iter().any(|full| full.fits(reservation))
+    }
+
+    /// Number of workers.
+    pub fn len(&self) -> usize {
+        self.all.len()
     }
 
     /// Workers with at least `cpu` free, the tightest first.
@@ -80,6 +87,15 @@
         self.add(key, worker);
     }
 
+    /// Notes that no worker of a service has room for a reservation. Workers only get fuller during a pass.
+    pub fn note_full(&mut self, service: &str, reservation: Resources) {
+        let Some(candidates) = self.services.get_mut(service) else { return };
+        if candidates.may_fit(&reservation) {
+            candidates.full_for.retain(|larger| !reservation.fits(larger));
+            candidates.full_for.push(reservation);
+        }
+    }
+
     pub fn candidates(&self, service: &str) -> Option<&Candidates> {
         self.services.get(service)
     }
--- a/components/shard/src/placement.rs
+++ b/components/shard/src/placement.rs
@@ -10,8 +10,8 @@
 /// Run numbers set aside for each epoch: an owner starts numbering at the distance between its epoch and the
 /// job's, times this, so that its runs come after those of earlier owners.
 const RUNS_PER_EPOCH: u64 = 16;
-/// Steps that lack capacity after which a pass ends.
-const MAX_UNPLACED_STEPS: usize = 24;
+/// Most workers that a pass keeps free for steps that lack capacity.
+const MAX_RESERVED_WORKERS: usize = 24;
 
 /// Cost of a worker for a task, the most significant part first: the task failed there, other rack than
 /// preferred, due for maintenance, runs that interfere, free processor time.
@@ -34,16 +34,9 @@
             return;
         }
         let mut pass = self.placement_pass();
-        let mut failed = 0;
         for step_ref in self.ranked_steps() {
-            if failed >= MAX_UNPLACED_STEPS {
-                break;
-            }
-            if !self.may_fit(step_ref, &pass) {
-                continue;
-            }
-            if !self.place_step(step_ref, &mut pass) {
-                failed += 1;
+            if self.may_fit(step_ref, &pass) {
+                self.place_step(step_ref, &mut pass);
             }
         }
     }
@@ -59,28 +52,32 @@
         pass
     }
 
-    /// False for a step whose tasks are larger than every worker. Such steps keep no others waiting.
+    /// False for a step whose tasks no worker could take, or that lacks room as steps before it did. Such steps keep
+    /// no others waiting and cost no scan of the workers.
     fn may_fit(&self, step_ref: StepRef, pass: &Pass) -> bool {
         let Some(job) = self.jobs.get(&step_ref.job) else { return true };
         let Some(spec) = job.spec.steps.get(step_ref.step as usize) else { return true };
-        pass.candidates(&job.spec.service).is_some_and(|c| c.may_fit(&spec.reservation()))
+        let Some(candidates) = pass.candidates(&job.spec.service) else { return false };
+        let has_label = |key: WorkerKey| self.workers[key].info.labels.contains(&spec.label);
+        candidates.may_fit(&spec.reservation())
+            && (spec.label.is_empty() || candidates.emptiest().any(has_label))
     }
 
-    /// Places the waiting tasks of a step; false if capacity was short.
-    fn place_step(&mut self, step_ref: StepRef, pass: &mut Pass) -> bool {
+    /// Places the waiting tasks of a step.
+    fn place_step(&mut self, step_ref: StepRef, pass: &mut Pass) {
         let Some(job) = self.jobs.get(&step_ref.job).filter(|j| j.verdict == Verdict::Open) else {
             self.ready_steps.remove(&step_ref);
-            return true;
+            return;
         };
-        let Some(spec) = job.spec.steps.get(step_ref.step as usize).cloned() else { return true };
+        let Some(spec) = job.spec.steps.get(step_ref.step as usize).cloned() else { return };
         let Some(step) =
             job.occurrence(step_ref.occurrence).and_then(|o| o.steps.get(step_ref.step as usize))
         else {
-            return true;
+            return;
         };
         if step.waiting_count == 0 {
             self.ready_steps.remove(&step_ref);
-            return true;
+            return;
         }
         let tasks: Vec<u32> = (0..)
             .zip(&step.tasks)
@@ -88,29 +85,38 @@
             .map(|(i, _)| i)
             .collect();
         if spec.gang {
-            return self.place_gang(step_ref, &spec, &tasks, pass);
+            self.place_gang(step_ref, &spec, &tasks, pass);
+            return;
         }
         for index in tasks {
             match self.place_task(TaskRef { step_ref, index }, &spec, pass) {
                 Placement::Placed => {}
                 Placement::OverQuota => {
                     self.note_quota_shortage(step_ref, spec.charge());
-                    return true;
+                    return;
                 }
-                Placement::Unplaceable => return true,
+                Placement::Unplaceable => return,
                 Placement::NoCapacity => {
                     self.reserve_worker(step_ref, &spec, pass);
-                    return false;
+                    self.note_full(step_ref, &spec, pass);
+                    return;
                 }
             }
         }
-        true
+    }
+
+    /// Notes that no worker has room for tasks as large as those of a step that any worker could run.
+    fn note_full(&self, step_ref: StepRef, spec: &StepSpec, pass: &mut Pass) {
+        let Some(job) = self.jobs.get(&step_ref.job) else { return };
+        if spec.label.is_empty() && spec.max_colocated == 0 {
+            pass.note_full(&job.spec.service, spec.reservation());
+        }
     }
 
     /// Places all tasks of a gang, or none.
-    fn place_gang(&mut self, step_ref: StepRef, spec: &StepSpec, tasks: &[u32], pass: &mut Pass) -> bool {
+    fn place_gang(&mut self, step_ref: StepRef, spec: &StepSpec, tasks: &[u32], pass: &mut Pass) {
         if tasks.len() < spec.count as usize {
-            return true;
+            return;
         }
         let mut placed = Vec::new();
         for &index in tasks {
@@ -128,12 +134,11 @@
                             pass.refresh(key, &self.workers[key]);
                         }
                     }
-                    return false;
+                    return;
                 }
             }
         }
         self.align_gang(&placed);
-        true
     }
 
     /// Gives all members of a gang the same run number and checkpoint, the highest of each.
@@ -312,12 +317,16 @@
             && worker.runs.values().any(|r| matches!(r.phase, RunPhase::Planned | RunPhase::Sent))
     }
 
-    /// Reserves the worker with the most free capacity that could run the step, for the rest of the pass.
+    /// Reserves the worker with the most free capacity that could run the step once its present tasks have ended, for
+    /// the rest of the pass. Half of the workers stay open to other steps.
     fn reserve_worker(&self, step_ref: StepRef, spec: &StepSpec, pass: &mut Pass) {
         let Some(job) = self.jobs.get(&step_ref.job) else { return };
         let Some(candidates) = pass.candidates(&job.spec.service) else { return };
+        if pass.reserved.len() >= MAX_RESERVED_WORKERS.min(candidates.len().div_ceil(2)) {
+            return;
+        }
         let best = candidates.emptiest().find(|k| {
-            spec.reservation().fits(&self.workers[*k].info.capacity)
+            spec.reservation().fits(&self.workers[*k].capacity_in_time())
                 && !pass.reserved.contains(k)
                 && self.eligible(*k, &step_ref, spec, &job.spec.service)
         });
--- a/components/shard/src/worker.rs
+++ b/components/shard/src/worker.rs
@@ -201,6 +201,12 @@
         self.info.capacity.saturating_sub(&self.used)
     }
 
+    /// Capacity that is free once the runs that end by themselves have ended.
+    pub fn capacity_in_time(&self) -> Resources {
+        let lasting = self.runs.values().filter(|r| r.long_running);
+        lasting.fold(self.info.capacity, |free, run| free.saturating_sub(&run.reserved))
+    }
+
     /// Whether it may get new tasks now.
     pub fn schedulable(&self, now: Ms) -> bool {
         self.listed
