Pools get machines for tasks that fit none of their workers

What callers saw: tasks of a long-running step stay away for good in calm, while machines of the spare pool are off.

Cause: the planner compares sums of CPU. A step that may use each worker once and has more tasks than the pool has workers, or a task that long-running ones leave no room for on any worker, waits although the sum is enough, so no machine is moved. Class: a need judged by a total that it does not depend on.

Change: an owner tells how many workers its service lacks for jobs that have stood for a second, judged by the capacity that is left once tasks that end have ended; none for tasks that no worker of the service could take even if it were empty. A pool that is not short of CPU gets as many machines.

Tests: two needs, two cases without one, the planner's moves.

--- a/components/capacity/src/lib.rs
+++ b/components/capacity/src/lib.rs
@@ -38,6 +38,8 @@
     pub expected_cpu: u64,
     /// CPU capacity of the usable workers.
     pub cpu_capacity: u64,
+    /// Workers that the pool lacks for tasks which fit none of its own, however much of its CPU is free.
+    pub lacking_workers: u64,
     /// Ids of the workers on which nothing runs.
     pub idle_workers: Vec<String>,
 }
@@ -158,14 +160,15 @@
         self.in_flight.retain(|name, (to, at)| now < *at + timeout && !arrived(name, to));
     }
 
-    /// CPU that a pool lacks beyond what is free there or arriving.
+    /// CPU that a pool lacks beyond what is free there or arriving, or that of the machines that it lacks.
     fn shortfall(&self, load: &PoolLoad, machines: &[Machine]) -> u64 {
         let largest = machines.iter().map(|m| m.cpu).max().unwrap_or(0);
         let moving = machines.iter().filter(|m| m.pool == load.name && m.state == MachineState::Moving);
         let ordered = self.in_flight.values().filter(|(to, _)| *to == load.name).count() as u64;
         let arriving = moving.map(|m| m.cpu).sum::<u64>() + ordered * largest;
         let needed = (load.used_cpu + load.pending_cpu).max(load.expected_cpu * 100 / FILL_PERCENT);
-        needed.saturating_sub(load.cpu_capacity + arriving)
+        let short = needed.saturating_sub(load.cpu_capacity + arriving);
+        if short > 0 { short } else { (load.lacking_workers * largest).saturating_sub(arriving) }
     }
 
     /// Machines that may leave their pools; spare ones come first, as no service loses capacity by them.
--- a/components/capacity/tests/moves.rs
+++ b/components/capacity/tests/moves.rs
@@ -40,6 +40,7 @@
         used_cpu,
         expected_cpu: 0,
         cpu_capacity: 4 * MACHINE_CPU,
+        lacking_workers: 0,
         idle_workers: idle_workers.iter().map(|n| format!("w{n}")).collect(),
     }
 }
@@ -131,3 +132,17 @@
     let moves = planner.plan(0, &fleet(), &loads, &spare_pools(), &excluded);
     expect_that!(moves.iter().map(|m| m.machine.as_str()).collect::<Vec<_>>(), eq(&vec!["m9"]));
 }
+
+#[gtest]
+fn a_pool_with_free_cpu_gets_the_machines_that_it_lacks_for_tasks_that_fit_none_of_its_own() {
+    let machines = fleet();
+    let mut planner = Planner::new(CONFIG);
+    let lacking = PoolLoad { lacking_workers: 2, ..load("a", 3_000, 20_000, &[]) };
+    let loads = [lacking, load("b", 0, 0, &[])];
+    let moves = plan(&mut planner, 10_000, &machines, &loads);
+    expect_that!(routes(&moves), elements_are![eq(&("spare", "a")), eq(&("spare", "a"))]);
+    for order in &moves {
+        planner.record_order(10_000, order);
+    }
+    expect_that!(routes(&plan(&mut planner, 10_100, &machines, &loads)), is_empty());
+}
--- a/components/capacity/tests/turns/player.rs
+++ b/components/capacity/tests/turns/player.rs
@@ -247,6 +247,7 @@
                     used_cpu: load.used,
                     expected_cpu: load.expected,
                     cpu_capacity: load.capacity,
+                    lacking_workers: load.lacking,
                     idle_workers: load.idle,
                 })
             })
--- a/components/relay/src/message.rs
+++ b/components/relay/src/message.rs
@@ -179,12 +179,15 @@
     /// Capacity that running and arriving work is expected to need after the lead.
     #[prost(uint64, tag = "5")]
     pub expected: u64,
+    /// Workers that jobs at a standstill lack.
+    #[prost(uint64, tag = "6")]
+    pub lacking: u64,
 }
 
 impl From<ServiceLoad> for LoadReply {
     fn from(load: ServiceLoad) -> Self {
-        let ServiceLoad { demand, used, capacity, expected, idle } = load;
-        Self { demand, used, capacity, idle, expected }
+        let ServiceLoad { demand, used, capacity, expected, lacking, idle } = load;
+        Self { demand, used, capacity, idle, expected, lacking }
     }
 }
 
--- a/components/relay/src/node/coordination.rs
+++ b/components/relay/src/node/coordination.rs
@@ -47,13 +47,14 @@
         let service = request.service.clone();
         let body = RequestBody::Load(request);
         let load = self.try_owner(self.partition_of(&service)?, body, timeout).await.ok()?.load?;
-        let LoadReply { demand, used, capacity, idle, expected } = load;
+        let LoadReply { demand, used, capacity, idle, expected, lacking } = load;
         Some(PoolLoad {
             name: service,
             pending_cpu: demand,
             used_cpu: used,
             expected_cpu: expected,
             cpu_capacity: capacity,
+            lacking_workers: lacking,
             idle_workers: idle,
         })
     }
--- a/components/shard/src/standstill.rs
+++ b/components/shard/src/standstill.rs
@@ -4,6 +4,10 @@
 //! size of a task, workers that are cordoned or not polled, an order of placement that never reaches a step. The
 //! owner looks for such jobs at intervals, so that an accepted job which does not run leaves a trace that names
 //! the cause.
+//!
+//! Free capacity in sum does not mean room for a task: long-running tasks may leave too little on each worker, and a
+//! step may use each worker for a limited number of its tasks. The service then lacks workers, however much of
+//! its capacity is free.
 
 use std::collections::HashMap;
 
@@ -13,6 +17,11 @@
 use crate::state::Shard;
 use crate::worker::Worker;
 
+/// Time at a standstill after which a job's need for more workers counts; polls of all workers are answered by then.
+const LACKING_AFTER_MS: Ms = 1_000;
+/// Most steps that are examined for it.
+const MAX_LACKING_STEPS: usize = 24;
+
 /// What keeps a ready task from starting.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Obstacle {
@@ -119,6 +128,48 @@
         })
     }
 
+    /// Workers that a service lacks for jobs at a standstill. The need of steps is not summed up, as they can share
+    /// workers.
+    pub(crate) fn lacking_workers(&self, service: &str) -> u64 {
+        let stands = |step: &&StepRef| {
+            self.standing_since.get(&step.job).is_some_and(|since| self.now >= since + LACKING_AFTER_MS)
+                && self.jobs.get(&step.job).is_some_and(|j| j.spec.service == service)
+        };
+        let steps = self.ready_steps.iter().filter(stands).take(MAX_LACKING_STEPS);
+        steps.filter_map(|step| self.lacking_for(step)).max().unwrap_or(0)
+    }
+
+    /// Workers that a step lacks. A step that could use none of the service's workers even if they were empty would
+    /// gain nothing by more of them.
+    fn lacking_for(&self, step_ref: &StepRef) -> Option<u64> {
+        let job = self.jobs.get(&step_ref.job)?;
+        let task = standing_task(job, *step_ref, self.now)?;
+        let spec = job.spec.steps.get(step_ref.step as usize)?;
+        let waiting = job.occurrence(step_ref.occurrence)?.steps.get(step_ref.step as usize)?.waiting_count;
+        if !self.within_quota(&task, spec) {
+            return None;
+        }
+        let of_service = || self.workers.iter().filter(|(_, w)| w.info.service == job.spec.service);
+        let suits = |w: &Worker| {
+            spec.reservation().fits(&w.info.capacity)
+                && (spec.label.is_empty() || w.info.labels.contains(&spec.label))
+        };
+        if !of_service().any(|(_, w)| suits(w)) {
+            return None;
+        }
+        let usable = of_service().filter(|(key, w)| {
+            w.schedulable(self.now)
+                && self.eligible(*key, step_ref, spec, &job.spec.service)
+                && spec.reservation().fits(&w.capacity_in_time())
+        });
+        let usable = u32::try_from(usable.count()).unwrap_or(u32::MAX);
+        let lacking = match spec.max_colocated {
+            0 => u32::from(usable == 0),
+            each => waiting.saturating_sub(usable.saturating_mul(each)).div_ceil(each),
+        };
+        Some(u64::from(lacking))
+    }
+
     fn count_workers(&self, task: &TaskRef, spec: &StepSpec, service: &str) -> WorkerCounts {
         let mut counts = WorkerCounts::default();
         for (key, worker) in self.workers.iter().filter(|(_, w)| w.info.service == service) {
--- a/components/shard/src/view.rs
+++ b/components/shard/src/view.rs
@@ -35,6 +35,8 @@
     pub capacity: u64,
     /// Capacity that long-running tasks hold, and that the work arriving after a move will need.
     pub expected: u64,
+    /// Workers beyond the present ones that jobs at a standstill need, as their tasks will fit none of these.
+    pub lacking: u64,
     /// Ids of workers without runs.
     pub idle: Vec<String>,
 }
@@ -156,6 +158,7 @@
             load.demand =
                 load.demand.saturating_add(spec.reservation().times(u64::from(step.waiting_count)).cpu);
         }
+        load.lacking = self.lacking_workers(service);
         load
     }
 }
--- a/components/shard/tests/fleet/standstill.rs
+++ b/components/shard/tests/fleet/standstill.rs
@@ -181,3 +181,40 @@
     fleet.advance(40_000);
     expect_that!(fleet.job_state("small"), some(eq(JobState::Completed)));
 }
+
+/// Workers that the service lacks after a job has stood still for two looks.
+fn lacking(fleet: &mut Fleet) -> u64 {
+    for _ in 0..3 {
+        fleet.shard.find_standstill();
+        fleet.advance(1_000);
+    }
+    fleet.shard.service_load("quotes", 0, 0).lacking
+}
+
+#[gtest]
+fn a_service_lacks_workers_for_a_step_that_uses_each_worker_once() {
+    let mut fleet = Fleet::new(3, 16_000);
+    fleet.submit(long_running("a", 5, 1_000));
+    expect_that!(lacking(&mut fleet), eq(2));
+}
+
+#[gtest]
+fn a_service_lacks_a_worker_for_a_task_that_long_running_ones_leave_no_room_for() {
+    let mut fleet = Fleet::new(3, 4_000);
+    fleet.submit(long_running("a", 3, 1_000));
+    fleet.advance(1_000);
+    fleet.submit(job("large", vec![step(1, 3_500)]));
+    expect_that!(lacking(&mut fleet), eq(1));
+}
+
+#[gtest]
+fn a_service_lacks_no_workers_for_tasks_that_will_have_room_or_never_can() {
+    let mut fleet = Fleet::new(3, 4_000);
+    fleet.work_ms = 60_000;
+    fleet.submit(job("runs", vec![step(3, 3_000)]));
+    fleet.advance(1_000);
+    fleet.submit(job("waits", vec![step(1, 3_000)]));
+    fleet.submit(job("larger", vec![step(1, 5_000)]));
+    fleet.submit(job("labelled", vec![StepSpec { label: "x".into(), ..step(1, 1_000) }]));
+    expect_that!(lacking(&mut fleet), eq(0));
+}
