A new owner knows a due occurrence from the runs of its tasks

Cause: an occurrence is stored with the first end of one of its tasks. A new owner that loads the shard before that finds recorded runs of an occurrence that it does not know, leaves the tasks waiting and starts them again. Class: a record that refers to something which is not stored.

Change: a recorded run activates its occurrence. Runs are recorded before they are started, so every started task of the occurrence is known; the others wait.

--- a/components/shard/src/recovery.rs
+++ b/components/shard/src/recovery.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use crate::job::{StepRef, TaskRef, TaskState};
+use crate::job::{Job, StepRef, TaskRef, TaskState};
 use crate::model::{TaskId, Verdict};
 use crate::record::{self, Progress, StoredRecord};
 use crate::state::Shard;
@@ -71,6 +71,7 @@
     /// Restores a run that may be on a worker. If the log holds several runs of a task, only the one with the
     /// highest number can still be in progress.
     fn inherit_run(&mut self, key: WorkerKey, task: TaskRef, number: u32) {
+        self.restore_occurrence(task.step_ref);
         match self.task_state(&task) {
             Some(TaskState::Done) => return,
             Some(TaskState::Placed(other)) => {
@@ -93,6 +94,14 @@
         }
     }
 
+    /// Activates the occurrence that a run belongs to, if no task of it has ended yet: the log holds no progress of it.
+    fn restore_occurrence(&mut self, step_ref: StepRef) {
+        let open = |j: &&Job| j.verdict == Verdict::Open && step_ref.occurrence < j.occurrence_count();
+        if self.jobs.get(&step_ref.job).filter(open).is_some() {
+            self.activate_occurrence(step_ref.job, step_ref.occurrence);
+        }
+    }
+
     /// Restores the progress of a job.
     fn restore_progress(&mut self, id: &str, progress: Progress) {
         let Some(&key) = self.job_keys.get(id) else { return };
--- a/components/shard/tests/fleet/failures.rs
+++ b/components/shard/tests/fleet/failures.rs
@@ -2,7 +2,7 @@
 
 use crate::support::{FakeWorker, Fleet, TIMING, job, long_running, step, worker_info};
 use googletest::prelude::*;
-use shard::{Input, JobState, RunOutcome, StepSpec, TaskId};
+use shard::{Input, JobSpec, JobState, Repeat, RunOutcome, StepSpec, TaskId};
 
 #[gtest]
 fn a_new_owner_keeps_runs_in_progress() {
@@ -361,3 +361,18 @@
         expect_that!(running, eq(2), "pause of {pause} ms");
     }
 }
+
+#[gtest]
+fn the_tasks_of_a_due_occurrence_run_once_when_the_owner_changes_before_any_of_them_ends() {
+    let mut fleet = Fleet::new(2, 4_000);
+    fleet.work_ms = 4_000;
+    let first = 1_000_000_000 + fleet.now + 500;
+    let repeat = Some(Repeat { first, interval: 12_000, count: 2 });
+    fleet.submit(JobSpec { repeat, ..job("a", vec![step(6, 1_000)]) });
+    fleet.advance(1_500);
+    expect_that!(fleet.start_requests.len(), eq(6));
+    fleet.change_owner();
+    fleet.advance(20_000);
+    expect_that!(fleet.job_state("a"), some(eq(JobState::Completed)));
+    expect_that!(fleet.start_requests.len(), eq(12));
+}
