A run is not taken for lost while its end may follow in another report

Cause: a worker lists 500 ends at a time. A run that the answer listed neither as running nor as ended counted as lost, although its end was the 501st. Class: a part taken for the whole.

Change: a report says whether further ends may follow; until they have come, no run of that worker is taken for lost.

--- a/components/capacity/tests/turns/player.rs
+++ b/components/capacity/tests/turns/player.rs
@@ -356,7 +356,7 @@
             metric: 0,
         };
         let running = self.running.iter().map(row).collect();
-        WorkerReport { incarnation: 1, clock: now, running, ended: self.ended.clone() }
+        WorkerReport { incarnation: 1, clock: now, running, ended: self.ended.clone(), more_ends: false }
     }
 }
 
--- a/components/relay/tests/daemons/platform.rs
+++ b/components/relay/tests/daemons/platform.rs
@@ -334,6 +334,7 @@
         clock: now,
         running: worker.running.iter().map(row).collect(),
         ended: worker.ended.clone(),
+        more_ends: false,
     }
 }
 
--- a/components/shard/src/report.rs
+++ b/components/shard/src/report.rs
@@ -61,6 +61,8 @@
     pub running: Vec<RunStatus>,
     /// Ends that are not acknowledged yet.
     pub ended: Vec<RunEnd>,
+    /// Further ends may follow once these are acknowledged.
+    pub more_ends: bool,
 }
 
 impl Shard {
@@ -70,7 +72,7 @@
         for end in &report.ended {
             self.run_ended(key, end);
         }
-        self.reconcile(key, sent, &report.running);
+        self.reconcile(key, sent, report);
         self.adjust_speed(key);
         self.stop_stalled_runs(key);
     }
@@ -104,12 +106,13 @@
         worker.poll_at = now;
     }
 
-    /// Compares the runs that a worker reports with those in its table.
-    fn reconcile(&mut self, key: WorkerKey, sent: Ms, running: &[RunStatus]) {
+    /// Compares the runs that a worker reports with those in its table. Runs that are missing are lost, unless their
+    /// ends may follow.
+    fn reconcile(&mut self, key: WorkerKey, sent: Ms, report: &WorkerReport) {
         let now = self.now;
         let mut reported: HashMap<TaskRef, u32> = HashMap::new();
         self.workers[key].unknown_runs.clear();
-        for status in running {
+        for status in &report.running {
             let Some(task) = self.task_ref(&status.task_id).filter(|t| self.knows_task(t)) else {
                 self.workers[key].unknown_runs.push((status.task_id.clone(), status.run));
                 continue;
@@ -117,6 +120,9 @@
             reported.insert(task, status.run);
             self.observe_run(key, task, status);
         }
+        if report.more_ends {
+            return;
+        }
         let mut lost = Vec::new();
         for (task, run) in &mut self.workers[key].runs {
             if reported.get(task) == Some(&run.number) {
--- a/components/shard/tests/fleet/failures.rs
+++ b/components/shard/tests/fleet/failures.rs
@@ -376,3 +376,18 @@
     expect_that!(fleet.job_state("a"), some(eq(JobState::Completed)));
     expect_that!(fleet.start_requests.len(), eq(12));
 }
+
+#[gtest]
+fn tasks_whose_ends_do_not_fit_one_report_are_not_started_again() {
+    let mut fleet = Fleet::new(1, 64_000);
+    fleet.work_ms = 2_000;
+    fleet.submit(job("a", vec![step(600, 100)]));
+    fleet.advance(1_000);
+    expect_that!(fleet.start_requests.len(), eq(600));
+    fleet.workers.get_mut("w0").expect("a worker").unreachable = true;
+    fleet.advance(3_800);
+    fleet.workers.get_mut("w0").expect("a worker").unreachable = false;
+    fleet.advance(3_000);
+    expect_that!(fleet.job_state("a"), some(eq(JobState::Completed)));
+    expect_that!(fleet.start_requests.len(), eq(600));
+}
--- a/components/shard/tests/fleet/support.rs
+++ b/components/shard/tests/fleet/support.rs
@@ -18,6 +18,8 @@
 };
 /// Simulated time between two steps of the shard.
 pub const TICK_MS: Ms = 10;
+/// Most ends in one report of a worker.
+const ENDS_PER_REPORT: usize = 500;
 /// Wall clock at monotonic time 0.
 const WALL_CLOCK_START_MS: u64 = 1_000_000_000;
 
@@ -408,7 +410,8 @@
             incarnation: self.incarnation,
             clock: now,
             running: self.running.iter().map(row).collect(),
-            ended: self.ended.clone(),
+            ended: self.ended.iter().take(ENDS_PER_REPORT).cloned().collect(),
+            more_ends: self.ended.len() > ENDS_PER_REPORT,
         }
     }
 
