A run is stalled by its own pace, not by a constant

Cause: a run whose whole percent did not change for 2.5 s counted as stalled, so no task over 250 s could end. Class: a constant that bounds callers' work.

Change: the time without progress is at least four times that of a percent, by the run's own pace or the estimate before its first percent; and it doubles with each worker that the task has stalled or failed on, for wrong estimates.

--- a/components/shard/src/health.rs
+++ b/components/shard/src/health.rs
@@ -4,7 +4,7 @@
 use crate::io::StartReply;
 use crate::job::TaskRef;
 use crate::state::Shard;
-use crate::worker::{Reachability, RunPhase, StopCause, WorkerKey};
+use crate::worker::{Reachability, Run, RunPhase, StopCause, WorkerKey};
 
 /// Delay before a failed poll is repeated.
 pub(crate) const POLL_RETRY_MS: Ms = 250;
@@ -17,8 +17,13 @@
 /// Time without an answer after which the rest of a worker's leases is noted in the log, and again after
 /// each such time.
 const LEASE_NOTE_INTERVAL_MS: Ms = 1_000;
-/// Time without progress after which a run counts as stalled.
+/// Shortest time without progress after which a run counts as stalled.
 const PROGRESS_TIMEOUT_MS: Ms = 2_500;
+/// Multiple of the time that a percent of a run takes, by its own pace or the task's estimate, before a longer time
+/// without progress counts.
+const PROGRESS_SLACK: Ms = 4;
+/// Most times that the shortest time doubles.
+const MAX_PROGRESS_DOUBLINGS: usize = 10;
 
 impl Shard {
     /// Attributes failures to a worker, and backs it off at the threshold.
@@ -82,7 +87,7 @@
             .runs
             .iter()
             .filter(|(_, r)| !r.long_running && !r.best_effort && matches!(r.phase, RunPhase::Running(_)))
-            .filter(|(_, r)| r.progress_percent < 100 && now >= r.progressed_at + PROGRESS_TIMEOUT_MS)
+            .filter(|(t, r)| r.progress_percent < 100 && now >= r.progressed_at + self.progress_timeout(t, r))
             .map(|(t, _)| *t)
             .collect();
         for task in &stalled {
@@ -97,4 +102,19 @@
             self.count_failures(key, FAILURE_THRESHOLD);
         }
     }
+
+    /// Time without progress after which a run counts as stalled. It doubles with each worker on which the task failed
+    /// or stalled, as a task can be much longer than estimated.
+    fn progress_timeout(&self, task: &TaskRef, run: &Run) -> Ms {
+        let estimate = self
+            .jobs
+            .get(&task.step_ref.job)
+            .map_or(0, |j| j.spec.steps.get(task.step_ref.step as usize).map_or(0, |s| s.estimate));
+        let pace = match u64::from(run.progress_percent) {
+            0 => estimate / 100,
+            percent => run.progressed_at.saturating_sub(run.planned_at) / percent,
+        };
+        let doublings = self.task(task).map_or(0, |t| t.avoided_workers.len()).min(MAX_PROGRESS_DOUBLINGS);
+        (PROGRESS_TIMEOUT_MS << doublings).max(pace.saturating_mul(PROGRESS_SLACK))
+    }
 }
--- a/components/shard/tests/fleet/standstill.rs
+++ b/components/shard/tests/fleet/standstill.rs
@@ -218,3 +218,23 @@
     fleet.submit(job("labelled", vec![StepSpec { label: "x".into(), ..step(1, 1_000) }]));
     expect_that!(lacking(&mut fleet), eq(0));
 }
+
+#[gtest]
+fn a_task_whose_percent_takes_long_is_not_stopped() {
+    let mut fleet = Fleet::new(2, 4_000);
+    fleet.work_ms = 400_000;
+    let slow = StepSpec { estimate: 400_000, ..step(1, 1_000) };
+    fleet.submit(job("a", vec![slow]));
+    fleet.advance(410_000);
+    expect_that!(fleet.job_state("a"), some(eq(JobState::Completed)));
+    expect_that!(fleet.start_requests.len(), eq(1));
+}
+
+#[gtest]
+fn a_task_that_is_much_longer_than_estimated_makes_its_way() {
+    let mut fleet = Fleet::new(4, 4_000);
+    fleet.work_ms = 400_000;
+    fleet.submit(job("a", vec![step(1, 1_000)]));
+    fleet.advance(500_000);
+    expect_that!(fleet.job_state("a"), some(eq(JobState::Completed)));
+}
