Records and appends of a shard stay below the sizes that the store takes

Cause: one record lists all runs of a worker, and a batch holds all changes. A batch with a record above 262,144 bytes, or above 2 MiB in all, is refused again and again and keeps what it held. Class: a size limit of a dependency that nothing respects.

Change: a worker gets at most 4,000 runs; a batch takes no more records above 1.5 MB, workers' records only once no job's progress is left, and acknowledges no end before all changes are in.

Evidence: the environment of the tests now refuses what the store refuses; the new test fails without the change (the second job is not accepted) and passes with it. Open: the progress of one job may grow beyond a record with tens of thousands of completed occurrences.

--- a/components/shard/src/batch.rs
+++ b/components/shard/src/batch.rs
@@ -7,6 +7,10 @@
 use crate::state::Shard;
 use crate::worker::{RunPhase, WorkerKey};
 
+/// Bytes after which a batch takes no further records. The store appends 2 MiB at a time, and the last job's two
+/// records may add half a MiB.
+const MAX_BATCH_BYTES: usize = 1_500_000;
+
 /// A batch in flight, and what depends on it.
 #[derive(Debug, Default)]
 pub(crate) struct Batch {
@@ -69,8 +73,14 @@
     }
 
     fn collect_jobs(&mut self, batch: &mut Batch, records: &mut Vec<Record>) {
+        let mut bytes = batch_bytes(records);
         for key in std::mem::take(&mut self.dirty_jobs) {
             let Some(job) = self.jobs.get_mut(&key) else { continue };
+            if bytes >= MAX_BATCH_BYTES {
+                self.dirty_jobs.insert(key);
+                continue;
+            }
+            let first = records.len();
             if job.stored {
                 batch.jobs.push(key);
             } else {
@@ -81,13 +91,23 @@
                 records.push(record::progress(job));
             }
             batch.cancel_requests.extend(job.cancel_requests.drain(..).map(|t| (key, t)));
+            bytes += batch_bytes(&records[first..]);
         }
     }
 
-    /// Adds the runs of changed workers, and notes the ends seen so far.
+    /// Adds the runs of changed workers. Notes the ends seen so far if the batch holds all their effects. A record that
+    /// lacks a run must not be stored before the progress of the run's job.
     fn collect_workers(&mut self, batch: &mut Batch, records: &mut Vec<Record>) {
+        if !self.dirty_jobs.is_empty() {
+            return;
+        }
+        let mut bytes = batch_bytes(records);
         for key in std::mem::take(&mut self.dirty_workers) {
             let Some(worker) = self.workers.get(key) else { continue };
+            if bytes >= MAX_BATCH_BYTES {
+                self.dirty_workers.insert(key);
+                continue;
+            }
             let mut runs = Vec::with_capacity(worker.runs.len());
             for (task, run) in &worker.runs {
                 let Some(task_id) = self.task_id(task) else { continue };
@@ -103,8 +123,12 @@
                 let worker = &mut self.workers[key];
                 worker.recorded = !worker.runs.is_empty();
                 worker.lease_noted |= lease_left > 0;
+                bytes += records.last().map_or(0, |r| batch_bytes(std::slice::from_ref(r)));
             }
         }
+        if !self.dirty_workers.is_empty() {
+            return;
+        }
         batch.ends = self
             .workers
             .iter()
@@ -167,3 +191,7 @@
         self.deletions.extend(newer);
     }
 }
+
+fn batch_bytes(records: &[Record]) -> usize {
+    records.iter().map(|r| r.key.len() + r.value.as_ref().map_or(0, Vec::len)).sum()
+}
--- a/components/shard/src/placement.rs
+++ b/components/shard/src/placement.rs
@@ -10,6 +10,9 @@
 /// Run numbers set aside for each epoch: an owner starts numbering at the distance between its epoch and the
 /// job's, times this, so that its runs come after those of earlier owners.
 const RUNS_PER_EPOCH: u64 = 16;
+/// Most runs on one worker. One record of the log lists them all, at up to 50 bytes each of the 262,144 that a record
+/// may have.
+const MAX_RUNS_PER_WORKER: usize = 4_000;
 /// Most workers that a pass keeps free for steps that lack capacity.
 const MAX_RESERVED_WORKERS: usize = 24;
 
@@ -299,7 +302,10 @@
         service: &str,
     ) -> bool {
         let worker = &self.workers[key];
-        if worker.info.service != service || self.zones_out.contains(&worker.info.zone) {
+        if worker.info.service != service
+            || self.zones_out.contains(&worker.info.zone)
+            || worker.runs.len() >= MAX_RUNS_PER_WORKER
+        {
             return false;
         }
         if !spec.label.is_empty() && !worker.info.labels.contains(&spec.label) {
--- a/components/shard/tests/fleet/standstill.rs
+++ b/components/shard/tests/fleet/standstill.rs
@@ -219,6 +219,18 @@
     expect_that!(lacking(&mut fleet), eq(0));
 }
 
+#[gtest]
+fn a_job_with_more_tasks_than_one_record_lists_stops_no_other_job() {
+    let mut fleet = Fleet::new(2, 64_000);
+    fleet.submit(job("f000000000000001", vec![step(12_000, 1)]));
+    fleet.advance(100);
+    fleet.submit(job("a", vec![step(2, 1_000)]));
+    fleet.advance(STANDSTILL_LIMIT_MS);
+    expect_that!(fleet.job_state("a"), some(eq(JobState::Completed)));
+    fleet.advance(10_000);
+    expect_that!(fleet.job_state("f000000000000001"), some(eq(JobState::Completed)));
+}
+
 #[gtest]
 fn a_task_whose_percent_takes_long_is_not_stopped() {
     let mut fleet = Fleet::new(2, 4_000);
--- a/components/shard/tests/fleet/support.rs
+++ b/components/shard/tests/fleet/support.rs
@@ -18,6 +18,9 @@
 };
 /// Simulated time between two steps of the shard.
 pub const TICK_MS: Ms = 10;
+/// Largest record that the log stores, and largest sum of the records of one append.
+const MAX_RECORD_BYTES: usize = 262_144;
+const MAX_APPEND_BYTES: usize = 2_097_152;
 /// Most ends in one report of a worker.
 const ENDS_PER_REPORT: usize = 500;
 /// Wall clock at monotonic time 0.
@@ -237,7 +240,10 @@
     }
 
     fn append(&mut self, records: Vec<Record>) {
-        if self.log_rejects {
+        let size = |r: &Record| 1 + r.key.len() + r.value.as_ref().map_or(0, Vec::len);
+        let largest = records.iter().map(size).max().unwrap_or(0);
+        let total: usize = records.iter().map(size).sum();
+        if self.log_rejects || largest > MAX_RECORD_BYTES || total > MAX_APPEND_BYTES {
             self.delayed.push((self.now + TICK_MS, Input::NotStored));
             return;
         }
