Cordons age with the clock that counts suspensions; docs of the quota crate

A coordinator that was suspended between a cordon and its order would have judged the cordon's age by a clock that stands still meanwhile. By reading; no case seen.

--- a/components/quota/src/broker.rs
+++ b/components/quota/src/broker.rs
@@ -9,7 +9,7 @@
 
 /// Milliseconds for which a limit is kept free for one shard's next task, and then not, before the next shard's
 /// turn. Half of it serves the others, as what keeps the task waiting may never end.
-pub const RESERVATION_MS: u64 = 2_000;
+const RESERVATION_MS: u64 = 2_000;
 
 /// Divides customers' limits between shards.
 #[derive(Debug, Default)]
--- a/components/quota/src/lib.rs
+++ b/components/quota/src/lib.rs
@@ -6,17 +6,17 @@
 //! of the same shard, reports that it holds less. Lost, late and repeated messages can therefore leave quota
 //! unused, but never exceed a limit. A new broker grants nothing until every shard has reported to it.
 //!
-//! Parts of a limit that are each too small for a task would be of use to nobody. So a shard requests quota only
-//! while nothing else keeps a task from starting, names what that task needs, and gives back what does not cover
-//! it. The broker grants the whole need of a task or nothing. Where the need exceeds what is free, the limit is
-//! kept free for it for a while, in the order in which the shards asked.
+//! Parts of a limit that are each too small for a task would be of use to nobody. So an owner names what the tasks
+//! need that only quota keeps from starting, and gives back what covers none of them. The broker grants the whole
+//! need of a task or nothing. Where the need exceeds what is free, the limit is kept free for it for a while, in the
+//! order in which the shards asked, and what other shards hold without using it is withdrawn.
 //!
 //! The crate does no I/O and reads no clock.
 
 mod broker;
 mod shard_quota;
 
-pub use broker::{Broker, RESERVATION_MS};
+pub use broker::Broker;
 use shard::Resources;
 pub use shard_quota::ShardQuota;
 
@@ -29,9 +29,9 @@
     pub held: Resources,
     /// Additional quota that the shard could use now.
     pub requested: Resources,
-    /// Part of `requested` that its next task needs; zero while no task waits for quota.
+    /// Part of `requested` for the next task that only quota keeps from starting; zero if there is none.
     pub next: Resources,
-    /// Part of `requested` that its smallest waiting task needs.
+    /// Part of `requested` for the smallest such task.
     pub least: Resources,
 }
 
--- a/components/relay/src/coordinator.rs
+++ b/components/relay/src/coordinator.rs
@@ -13,7 +13,6 @@
 use futures_util::future::join_all;
 use maintenance::{Action, Machine, MachineState, Outcome, Wave};
 use shard::Record;
-use tokio::time::Instant;
 
 use crate::clock::{monotonic_ms, wall_ms};
 use crate::configuration::{Configuration, Wave as WaveSpec};
@@ -32,9 +31,9 @@
 const CLOCK_SKEW_MS: u64 = 500;
 /// Time between the end of a machine's move and its first task: the worker list and the first poll.
 const JOIN_DELAY_MS: u64 = 300;
-/// Longest time from the last cordon of a worker to an order for its machine; leaves time for the order to take
-/// effect before the cordon ends.
-const ORDER_DELAY: Duration = Duration::from_millis(shard::CORDON_MS / 2);
+/// Longest time in milliseconds from the last cordon of a worker to an order for its machine; leaves time for the
+/// order to take effect before the cordon ends.
+const ORDER_DELAY_MS: u64 = shard::CORDON_MS / 2;
 /// Time limit for a request to a shard's owner.
 const OWNER_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -164,7 +163,7 @@
         let busy = waves.open.values().flat_map(Wave::active).chain(out).cloned().collect();
         let mut planned_moves = planner.plan(monotonic_ms(), machines, loads, spare_pools, &busy);
         planned_moves.truncate(limiter.available());
-        let cordoned_at = Instant::now();
+        let cordoned_at = monotonic_ms();
         let drained = join_all(planned_moves.into_iter().map(|m| self.drain_for_move(spare_pools, m))).await;
         let moves: Vec<Move> = drained.into_iter().flatten().collect();
         let recorded = self.record_orders(log, moves.iter().map(|m| m.machine.as_str()).collect()).await;
@@ -227,7 +226,7 @@
     }
 
     /// Orders a move, and uncordons the worker if it was not ordered.
-    async fn order_move(&self, planned: &Move, cordoned_at: Instant) -> MoveOutcome {
+    async fn order_move(&self, planned: &Move, cordoned_at: u64) -> MoveOutcome {
         if !self.may_order(cordoned_at) {
             self.node.uncordon_worker(&planned.from, &planned.worker, OWNER_TIMEOUT).await;
             return MoveOutcome::NotOrdered;
@@ -257,9 +256,9 @@
         }
     }
 
-    /// Whether orders may be sent for machines whose workers were cordoned at a time.
-    fn may_order(&self, cordoned_at: Instant) -> bool {
-        cordoned_at.elapsed() < ORDER_DELAY && self.node.holds_partition(self.partition, self.epoch)
+    /// Whether orders may be sent for machines whose workers were cordoned at a monotonic time.
+    fn may_order(&self, cordoned_at: u64) -> bool {
+        monotonic_ms() < cordoned_at + ORDER_DELAY_MS && self.node.holds_partition(self.partition, self.epoch)
     }
 
     /// Takes over the coordinator's partition and loads its records.
@@ -293,7 +292,7 @@
         for number in numbers {
             let Some(wave) = waves.open.get_mut(&number) else { continue };
             wave.observe(monotonic_ms(), machines);
-            let cordoned_at = Instant::now();
+            let cordoned_at = monotonic_ms();
             let remaining = self.remaining_runs(wave, snapshot).await;
             if !self.node.holds_partition(self.partition, self.epoch) {
                 return;
