Shards keep quota that covers no task until another shard needs it

Cause, by a trace in virtual time: an owner gave back what covered none of its waiting tasks. While no broker grants (here owners and the coordinator are cut off from each other for 12 s, and a new broker grants nothing until all shards have reported) it lost a part of its quota at each such report.

Change: nothing is given back for that reason.

--- a/components/quota/src/lib.rs
+++ b/components/quota/src/lib.rs
@@ -7,9 +7,10 @@
 //! unused, but never exceed a limit. A new broker grants nothing until every shard has reported to it.
 //!
 //! Parts of a limit that are each too small for a task would be of use to nobody. So an owner names what the tasks
-//! need that only quota keeps from starting, and gives back what covers none of them. The broker grants the whole
-//! need of a task or nothing. Where the need exceeds what is free, the limit is kept free for it for a while, in the
-//! order in which the shards asked, and what other shards hold without using it is withdrawn.
+//! need that only quota keeps from starting, and the broker grants the whole need of a task or nothing. Where the
+//! need exceeds what is free, the limit is kept free for it for a while, in the order in which the shards asked, and
+//! what other shards hold without using it is withdrawn. Owners give back nothing that they could use later: while
+//! no broker grants, they would lose it bit by bit.
 //!
 //! The crate does no I/O and reads no clock.
 
--- a/components/quota/src/shard_quota.rs
+++ b/components/quota/src/shard_quota.rs
@@ -57,10 +57,6 @@
             let need = usage.used + usage.demand + headroom;
             let held = self.held.entry(customer.clone()).or_default();
             *held = held.min(&need).max(&usage.used);
-            if !(usage.used + usage.least).fits(held) {
-                // What is left covers none of the waiting tasks.
-                *held = usage.used;
-            }
             let requested = need.saturating_sub(held);
             if *held != Resources::default() || requested != Resources::default() {
                 let left = held.saturating_sub(&usage.used);
--- a/components/quota/tests/deployment/main.rs
+++ b/components/quota/tests/deployment/main.rs
@@ -93,6 +93,11 @@
         }
     }
 
+    /// Sum of all customers' quotas at all shards, in thousandths of a core.
+    fn quota_held(&self) -> u64 {
+        self.members.iter().flat_map(|m| m.quota.quotas().into_values()).map(|r| r.cpu).sum()
+    }
+
     fn state(&self, shard: usize, id: &str) -> Option<JobState> {
         self.members[shard].fleet.job_state(id)
     }
@@ -190,6 +195,29 @@
     expect_that!(made.state(2, "small"), some(eq(JobState::Completed)));
 }
 
+#[gtest]
+fn shards_keep_their_quota_while_no_broker_grants_any() {
+    let mut made = Deployment::new(2, 3, &[("acme", 40_000)]);
+    let submit = |made: &mut Deployment, n: u64| {
+        for shard in 0..2 {
+            let steps = vec![step(4, 700 + n * 37 % 900)];
+            made.submit(shard, of_customer("acme", &format!("j{n}s{shard}"), steps));
+        }
+    };
+    for n in 0..60 {
+        submit(&mut made, n);
+        made.advance(50);
+    }
+    let before = made.quota_held();
+    // One shard that does not report keeps a new broker from granting.
+    made.broker.configure(made.limits.clone(), (0..3).collect());
+    for n in 60..260 {
+        submit(&mut made, n);
+        made.advance(50);
+    }
+    expect_that!(made.quota_held(), ge(before * 9 / 10));
+}
+
 #[derive(Clone, Debug)]
 enum Event {
     /// Shard, customer, tasks, CPU of a task.
