Answers between daemons are waited for as long as they take

Cause: an answer of the quota broker that took more than 300 ms was thrown away, and the next report made it void. Where every answer takes longer, a shard never gets any quota. The load of a pool (250 ms), a cordon's count (250 ms) and documents of other daemons (200 ms) were given up in the same way. Class: a fixed limit on one answer decides whether work ever starts.

Change: the limit on a peer's answers follows them: it doubles with each request that goes unanswered and is at least twice the time of the last answers. A request between owners and the coordinator ends early when the partition gets another owner. A round of the coordinator waits 250 ms for loads as before, but a later load counts in the round in which it comes; documents of peers likewise. A late grant is safe: it is applied only while no newer report was made, and a broker counts nothing for a shard before that shard has reported to it.

In virtual time large tasks get their quota beside small ones with answers that take up to 5 s; that test passes on the broker as it was.

--- a/components/quota/tests/deployment/main.rs
+++ b/components/quota/tests/deployment/main.rs
@@ -9,7 +9,7 @@
 use googletest::prelude::*;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use quota::{Broker, ShardQuota};
+use quota::{Broker, Grant, ShardQuota};
 use shard::{Input, JobSpec, JobState, Ms, Resources, StepSpec};
 use support::{Fleet, TICK_MS, job, step};
 
@@ -24,6 +24,10 @@
     fleet: Fleet,
     quota: ShardQuota,
     reported_at: Ms,
+    /// Time from a report to the broker's answer.
+    answer_ms: Ms,
+    /// The broker's answer on its way: when it comes, the report's number and the grants.
+    answer: Option<(Ms, u64, Vec<Grant>)>,
 }
 
 struct Deployment {
@@ -43,7 +47,7 @@
             let fleet = Fleet::new(workers, WORKER_CPU);
             let mut quota = ShardQuota::new(shard, fleet.epoch);
             quota.configure(limits.clone());
-            Member { fleet, quota, reported_at: 0 }
+            Member { fleet, quota, reported_at: 0, answer_ms: 0, answer: None }
         };
         let members = (0..shards).map(member).collect();
         let mut made = Self { members, broker: Broker::default(), limits, jobs: BTreeMap::new() };
@@ -65,6 +69,7 @@
     fn change_owner(&mut self, shard: usize) {
         let member = &mut self.members[shard];
         member.fleet.change_owner();
+        member.answer = None;
         member.quota = ShardQuota::new(u32::try_from(shard).expect("few shards"), member.fleet.epoch);
         member.quota.configure(self.limits.clone());
     }
@@ -104,17 +109,26 @@
 }
 
 impl Member {
-    /// Reports to the broker if it is time, as the driver of a shard does.
+    /// Reports to the broker if it is time and no answer is awaited, as the driver of a shard does.
     fn report(&mut self, broker: &mut Broker) {
+        let now = self.fleet.now;
+        if let Some((_, sequence, grants)) = self.answer.take_if(|(due, ..)| now >= *due) {
+            self.quota.apply_grants(sequence, grants);
+            self.fleet.apply(Input::Quotas(self.quota.quotas()));
+        }
         let interval = if self.fleet.shard.quota_limited() { URGENT_INTERVAL_MS } else { INTERVAL_MS };
-        if self.fleet.now < self.reported_at + interval {
+        if self.answer.is_some() || now < self.reported_at + interval {
             return;
         }
-        self.reported_at = self.fleet.now;
+        self.reported_at = now;
         let report = self.quota.next_report(&self.fleet.shard.usage());
         self.fleet.apply(Input::Quotas(self.quota.quotas()));
-        if let Some(grants) = broker.handle_report(self.fleet.now, &report) {
-            self.quota.apply_grants(report.sequence, grants);
+        if let Some(grants) = broker.handle_report(now, &report) {
+            if self.answer_ms == 0 {
+                self.quota.apply_grants(report.sequence, grants);
+            } else {
+                self.answer = Some((now + self.answer_ms, report.sequence, grants));
+            }
         }
         self.fleet.apply(Input::Quotas(self.quota.quotas()));
     }
@@ -166,21 +180,40 @@
     expect_that!(made.state(1, "fits"), some(eq(JobState::Completed)));
 }
 
-#[gtest]
-fn a_large_task_gets_its_quota_beside_a_steady_flow_of_small_ones() {
+/// Plays a large task beside small ones of another shard; both shards get each answer of the broker after a while.
+fn play_large_beside_small(answer_ms: Ms) -> Deployment {
     let mut made = Deployment::new(2, 3, &[("acme", 20_000)]);
+    for member in &mut made.members {
+        member.answer_ms = answer_ms;
+    }
     for n in 0..40 {
         made.submit(0, of_customer("acme", &format!("small{n}"), vec![step(8, 1_000)]));
         if n == 4 {
             made.submit(1, of_customer("acme", "large", vec![step(1, 12_000)]));
         }
-        made.advance(300);
+        made.advance(300 + answer_ms);
     }
+    made
+}
+
+#[gtest]
+fn a_large_task_gets_its_quota_beside_a_steady_flow_of_small_ones() {
+    let mut made = play_large_beside_small(0);
     expect_that!(made.state(1, "large"), some(eq(JobState::Completed)));
     made.advance(10_000);
     expect_that!(made.state(0, "small39"), some(eq(JobState::Completed)));
 }
 
+#[gtest]
+fn a_large_task_gets_its_quota_although_each_answer_of_the_broker_comes_late() {
+    for answer_ms in [400, 900, 1_700, 2_500, 5_000] {
+        let mut made = play_large_beside_small(answer_ms);
+        expect_that!(made.members[1].fleet.start_requests.len(), eq(1), "{answer_ms} ms");
+        made.advance(10_000 + 10 * answer_ms);
+        expect_that!(made.state(0, "small39"), some(eq(JobState::Completed)), "{answer_ms} ms");
+    }
+}
+
 #[gtest]
 fn a_task_that_can_not_have_its_quota_for_long_does_not_hold_up_smaller_ones() {
     let mut made = Deployment::new(3, 3, &[("acme", 20_000)]);
--- a/components/relay/src/coordinator.rs
+++ b/components/relay/src/coordinator.rs
@@ -13,10 +13,12 @@
 use futures_util::future::join_all;
 use maintenance::{Action, Machine, MachineState, Outcome, Wave};
 use shard::Record;
+use tokio::time::{Instant, timeout_at};
 
 use crate::clock::{monotonic_ms, wall_ms};
 use crate::configuration::{Configuration, Wave as WaveSpec};
 use crate::coordinator_log::{CoordinatorLog, LogTarget, WaveProgress};
+use crate::in_flight::InFlight;
 use crate::message::LoadRequest;
 use crate::node::Node;
 use crate::partition;
@@ -31,11 +33,11 @@
 const CLOCK_SKEW_MS: u64 = 500;
 /// Time between the end of a machine's move and its first task: the worker list and the first poll.
 const JOIN_DELAY_MS: u64 = 300;
-/// Longest time in milliseconds from the last cordon of a worker to an order for its machine; leaves time for the
-/// order to take effect before the cordon ends.
-const ORDER_DELAY_MS: u64 = shard::CORDON_MS / 2;
-/// Time limit for a request to a shard's owner.
-const OWNER_TIMEOUT: Duration = Duration::from_millis(250);
+/// Longest time from the last cordon of a worker to an order for its machine; leaves time for the order to take
+/// effect before the cordon ends.
+const ORDER_DELAY: Duration = Duration::from_millis(shard::CORDON_MS / 2);
+/// Time for which a round waits for the loads of the pools.
+const LOADS_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Dependencies and settings of the coordinator.
 #[derive(Debug)]
@@ -97,6 +99,7 @@
         let Some((mut waves, mut log)) = self.take_over().await else { return };
         let inherited = log.orders.clone();
         let mut planner = Planner::new(PlannerConfig::with_move_time(self.move_ms));
+        let mut queries = InFlight::default();
         let mut limiter = RateLimiter::new(self.orders_per_s, monotonic_ms());
         tracing::info!(epoch = self.epoch, "duty: coordinator started");
         while !log.lost && self.node.holds_partition(self.partition, self.epoch) {
@@ -111,7 +114,7 @@
                         let recent = self.recently_ordered(&inherited);
                         let machines: Vec<Machine> =
                             machines.iter().map(|m| mask_recent(m, &recent)).collect();
-                        let loads = self.pool_loads(&config, &machines, &waves).await;
+                        let loads = self.pool_loads(&mut queries, &config, &machines, &waves).await;
                         let spare_pools = config.spare_pools();
                         let snapshot =
                             Snapshot { machines, spare_pools, loads, zones_out: desired.zones_out };
@@ -131,22 +134,40 @@
         LogTarget { node: &self.node, store: &*self.store, partition: self.partition, epoch: self.epoch }
     }
 
-    /// Reads the load of all pools but spare ones from the owners of their shards.
-    async fn pool_loads(&self, config: &Configuration, machines: &[Machine], waves: &Waves) -> Vec<PoolLoad> {
+    /// Reads the load of all pools but spare ones from the owners of their shards. The round waits only a moment for
+    /// them, so that a slow owner does not hold up other pools; a later load counts in the round in which it comes.
+    async fn pool_loads(
+        &self,
+        queries: &mut InFlight<String, PoolLoad>,
+        config: &Configuration,
+        machines: &[Machine],
+        waves: &Waves,
+    ) -> Vec<PoolLoad> {
         let pending: BTreeSet<&String> = waves.open.values().flat_map(Wave::remaining).collect();
         let largest_cpu = machines.iter().map(|m| m.cpu).max().unwrap_or(0);
-        let requests = config.pools.iter().filter(|p| !p.spare).map(|pool| {
+        for pool in config.pools.iter().filter(|p| !p.spare) {
+            if queries.contains(&pool.name) {
+                continue;
+            }
             let due = machines.iter().filter(|m| m.pool == pool.name && pending.contains(&m.name));
-            let due = due.map(|m| m.worker.clone()).collect();
             let request = LoadRequest {
                 service: pool.name.clone(),
-                due_workers: due,
+                due_workers: due.map(|m| m.worker.clone()).collect(),
                 lead_ms: self.move_ms + JOIN_DELAY_MS,
                 largest_cpu,
             };
-            self.node.service_load(request, OWNER_TIMEOUT)
-        });
-        join_all(requests).await.into_iter().flatten().collect()
+            let node = Arc::clone(&self.node);
+            queries.start(pool.name.clone(), async move { node.service_load(request).await });
+        }
+        let deadline = Instant::now() + LOADS_TIMEOUT;
+        let mut loads = Vec::new();
+        while !queries.is_empty() {
+            match timeout_at(deadline, queries.next()).await {
+                Ok(load) => loads.extend(load),
+                Err(_) => break,
+            }
+        }
+        loads
     }
 
     /// Moves machines to the pools that need capacity.
@@ -168,8 +189,7 @@
         let moves: Vec<Move> = drained.into_iter().flatten().collect();
         let recorded = self.record_orders(log, moves.iter().map(|m| m.machine.as_str()).collect()).await;
         if !recorded {
-            join_all(moves.iter().map(|m| self.node.uncordon_worker(&m.from, &m.worker, OWNER_TIMEOUT)))
-                .await;
+            join_all(moves.iter().map(|m| self.node.uncordon_worker(&m.from, &m.worker))).await;
             return;
         }
         limiter.take(moves.len());
@@ -188,7 +208,7 @@
         if self.drain_worker(spare_pools, &planned.from, &planned.worker).await == Some(0) {
             return Some(planned);
         }
-        self.node.uncordon_worker(&planned.from, &planned.worker, OWNER_TIMEOUT).await;
+        self.node.uncordon_worker(&planned.from, &planned.worker).await;
         None
     }
 
@@ -198,7 +218,7 @@
         if spare_pools.contains(pool) {
             Some(0)
         } else {
-            self.node.cordon_worker(pool, worker, OWNER_TIMEOUT).await
+            self.node.cordon_worker(pool, worker, ORDER_DELAY).await
         }
     }
 
@@ -228,7 +248,7 @@
     /// Orders a move, and uncordons the worker if it was not ordered.
     async fn order_move(&self, planned: &Move, cordoned_at: u64) -> MoveOutcome {
         if !self.may_order(cordoned_at) {
-            self.node.uncordon_worker(&planned.from, &planned.worker, OWNER_TIMEOUT).await;
+            self.node.uncordon_worker(&planned.from, &planned.worker).await;
             return MoveOutcome::NotOrdered;
         }
         let answer =
@@ -246,7 +266,7 @@
                 MoveOutcome::Ordered
             }
             Ok(OrderReply::Invalid | OrderReply::NotReady) | Err(_) => {
-                self.node.uncordon_worker(&planned.from, &planned.worker, OWNER_TIMEOUT).await;
+                self.node.uncordon_worker(&planned.from, &planned.worker).await;
                 if matches!(answer, Ok(OrderReply::Invalid)) {
                     MoveOutcome::Invalid
                 } else {
@@ -258,7 +278,8 @@
 
     /// Whether orders may be sent for machines whose workers were cordoned at a monotonic time.
     fn may_order(&self, cordoned_at: u64) -> bool {
-        monotonic_ms() < cordoned_at + ORDER_DELAY_MS && self.node.holds_partition(self.partition, self.epoch)
+        let elapsed = Duration::from_millis(monotonic_ms().saturating_sub(cordoned_at));
+        elapsed < ORDER_DELAY && self.node.holds_partition(self.partition, self.epoch)
     }
 
     /// Takes over the coordinator's partition and loads its records.
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -7,11 +7,13 @@
 //! coordinator: it carries out maintenance waves, moves machines between pools and divides customers' limits
 //! among shards.
 
+mod answer_limit;
 mod clock;
 mod configuration;
 mod coordinator;
 mod coordinator_log;
 mod desired_state;
+mod in_flight;
 mod membership;
 mod mesh;
 mod message;
@@ -24,6 +26,7 @@
 mod standby;
 mod worker_list;
 
+pub use answer_limit::AnswerLimit;
 pub use clock::{monotonic_ms, wall_ms};
 pub use configuration::{Configuration, Customer, Pool, Queue, UNLIMITED, Wave};
 pub use membership::MEMBER_TTL_MS;
--- a/components/relay/src/mesh.rs
+++ b/components/relay/src/mesh.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
@@ -18,6 +18,7 @@
 use tokio::time::timeout;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
+use crate::answer_limit::AnswerLimit;
 use crate::message::{Reply, Request, RequestBody};
 
 /// Largest frame in bytes; requests with a job's text and steps are far smaller.
@@ -44,6 +45,8 @@
 pub struct Mesh {
     local_addr: SocketAddr,
     peers: Mutex<HashMap<SocketAddr, Peer>>,
+    /// How long to wait for each peer's answers.
+    limits: Mutex<HashMap<SocketAddr, AnswerLimit>>,
     next_id: AtomicU64,
 }
 
@@ -57,10 +60,11 @@
     /// A mesh without connections; `local_addr` is the address at which peers reach this daemon.
     #[must_use]
     pub fn new(local_addr: SocketAddr) -> Self {
-        Self { local_addr, peers: Mutex::default(), next_id: AtomicU64::default() }
+        Self { local_addr, peers: Mutex::default(), limits: Mutex::default(), next_id: AtomicU64::default() }
     }
 
-    /// Sends a request to a peer and waits for its reply.
+    /// Sends a request to a peer and waits for its reply: `usual`, or longer if the peer's answers take longer, but no
+    /// longer than `most`.
     ///
     /// # Errors
     /// [`MeshError`] tells whether the request was sent.
@@ -69,35 +73,56 @@
         addr: SocketAddr,
         partition: u32,
         body: RequestBody,
-        within: Duration,
+        (usual, most): (Duration, Duration),
+    ) -> Result<Reply, MeshError> {
+        let limit = self.limits.lock().get(&addr).map_or(usual, |l| l.get().max(usual));
+        let started = Instant::now();
+        let reply = self.exchange(addr, partition, body, limit.min(most)).await;
+        let mut limits = self.limits.lock();
+        match reply {
+            Ok(_) => limits.entry(addr).or_default().answered(started.elapsed()),
+            Err(MeshError::NoReply) => limits.entry(addr).or_default().unanswered(started.elapsed()),
+            Err(MeshError::NotSent) => {}
+        }
+        reply
+    }
+
+    async fn exchange(
+        &self,
+        addr: SocketAddr,
+        partition: u32,
+        body: RequestBody,
+        limit: Duration,
     ) -> Result<Reply, MeshError> {
         let peer = self.connect(addr).await.ok_or(MeshError::NotSent)?;
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
         let (tx, rx) = oneshot::channel();
         peer.pending.lock().insert(id, tx);
-        if peer
-            .requests
-            .try_send(Request { id, partition, sender: self.local_addr.to_string(), body: Some(body) })
-            .is_err()
-        {
+        let request = Request { id, partition, sender: self.local_addr.to_string(), body: Some(body) };
+        if peer.requests.try_send(request).is_err() {
             peer.pending.lock().remove(&id);
-            self.disconnect(addr);
+            self.disconnect(addr, &peer);
             return Err(MeshError::NotSent);
         }
-        match timeout(within, rx).await {
+        match timeout(limit, rx).await {
             Ok(Ok(reply)) => Ok(reply),
             Ok(Err(_)) => Err(MeshError::NoReply),
             Err(_) => {
-                // The connection may be dead without having been closed; the next request opens a new one.
+                // The connection may be dead without having been closed. The next request opens a new one; requests
+                // that still wait on this one keep it.
                 peer.pending.lock().remove(&id);
-                self.disconnect(addr);
+                self.disconnect(addr, &peer);
                 Err(MeshError::NoReply)
             }
         }
     }
 
-    fn disconnect(&self, addr: SocketAddr) {
-        self.peers.lock().remove(&addr);
+    /// Takes a connection out of use, unless a newer one has replaced it.
+    fn disconnect(&self, addr: SocketAddr, peer: &Peer) {
+        let mut peers = self.peers.lock();
+        if peers.get(&addr).is_some_and(|p| p.requests.same_channel(&peer.requests)) {
+            peers.remove(&addr);
+        }
     }
 
     /// The open connection to a peer, or a new one.
--- a/components/relay/src/node.rs
+++ b/components/relay/src/node.rs
@@ -36,7 +36,7 @@
 const UNREACHABLE_WAIT: Duration = Duration::from_millis(300);
 /// Most peers that are remembered; peers that were replaced stay in the set until the process ends.
 const MAX_KNOWN_PEERS: usize = 1_024;
-/// Time limit for one attempt to reach an owner, within the caller's time limit.
+/// Usual time limit for one attempt to reach an owner, within the caller's time limit.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Identity, dependencies and settings of a daemon.
@@ -91,7 +91,7 @@
     /// Peers that have sent requests to this daemon.
     known_peers: Mutex<BTreeSet<SocketAddr>>,
     /// Owner of each partition, as last read from the store.
-    owners: Mutex<HashMap<u32, SocketAddr>>,
+    owners: watch::Sender<HashMap<u32, SocketAddr>>,
     /// Shards that this daemon owns, by partition.
     owned: Mutex<HashMap<u32, ShardHandle>>,
     /// Notified when an owner could not be reached.
@@ -139,7 +139,7 @@
             options,
             mesh: Mesh::new(mesh_addr),
             known_peers: Mutex::default(),
-            owners: Mutex::default(),
+            owners: watch::Sender::default(),
             owned: Mutex::default(),
             owners_stale: Notify::new(),
             membership,
@@ -221,7 +221,7 @@
                 return if uncertain { Outcome::Uncertain } else { Outcome::Refused };
             }
             if let Some(partition) = self.partition_of(service) {
-                match self.try_owner(partition, body.clone(), remaining).await {
+                match self.try_owner(partition, body.clone(), (ATTEMPT_TIMEOUT, remaining)).await {
                     Ok(reply) => {
                         if let Some(outcome) = caller_outcome(&reply) {
                             return if uncertain { after_lost_try(outcome) } else { outcome };
@@ -239,16 +239,22 @@
         }
     }
 
-    /// Sends a request once to a partition's owner, which may be this daemon, and waits for the time left.
-    async fn try_owner(&self, partition: u32, body: RequestBody, left: Duration) -> Result<Reply, MeshError> {
-        let owner = self.owners.lock().get(&partition).copied();
+    /// Sends a request once to a partition's owner, which may be this daemon. Waits for the `usual` time or, if the
+    /// owner's answers take longer, up to `most`.
+    async fn try_owner(
+        &self,
+        partition: u32,
+        body: RequestBody,
+        (usual, most): (Duration, Duration),
+    ) -> Result<Reply, MeshError> {
+        let owner = self.owners.borrow().get(&partition).copied();
         let owned_here = self.owned.lock().get(&partition).is_some_and(|o| !o.has_ended());
         if owned_here || owner == Some(self.options.mesh_addr) {
-            let reply = tokio::time::timeout(left, self.handle_locally(partition, body)).await;
+            let reply = tokio::time::timeout(most, self.handle_locally(partition, body)).await;
             return reply.map_err(|_| MeshError::NoReply);
         }
         let Some(addr) = owner else { return Err(MeshError::NotSent) };
-        self.mesh.request(addr, partition, body, left.min(ATTEMPT_TIMEOUT)).await
+        self.mesh.request(addr, partition, body, (usual, most)).await
     }
 
     /// Handles a request of another daemon.
--- a/components/relay/src/node/coordination.rs
+++ b/components/relay/src/node/coordination.rs
@@ -1,26 +1,54 @@
 //! Requests between the coordinator and the owners of shards.
+//!
+//! Their answers decide whether accepted jobs start, so none is given up for being late: a request waits as long as
+//! the other daemon's answers take, or until another daemon owns the partition.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use capacity::PoolLoad;
 use quota::Broker;
+use tokio::time::timeout;
 
 use super::Node;
 use crate::clock::monotonic_ms;
 use crate::message::{LoadReply, LoadRequest, QuotaReport, Reply, ReplyKind, RequestBody};
 
+/// Usual time limit for the answer of another daemon, many times a round trip between zones. After it the owners are
+/// read again.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
+
 impl Node {
-    /// Reports a shard's quotas to the coordinator; the reply has the new ones.
-    pub(crate) async fn report_quota(&self, report: QuotaReport, timeout: Duration) -> Option<Reply> {
-        let partition = self.coordinator_partition();
-        let reply = self.try_owner(partition, RequestBody::Quota(report), timeout).await.ok();
-        let reply = reply.filter(|r| r.kind() == ReplyKind::Quota);
-        if reply.is_none() {
+    /// Sends a request to a partition's owner and waits for its answer, for at most `most`; `None` if there is none, or
+    /// if the partition gets another owner.
+    async fn ask_owner(&self, partition: u32, body: RequestBody, most: Duration) -> Option<Reply> {
+        let owner = self.owners.borrow().get(&partition).copied();
+        let reply = tokio::select! {
+            reply = self.try_owner(partition, body, (ANSWER_TIMEOUT.min(most), most)) => reply.ok(),
+            () = self.owner_replaced(partition, owner) => None,
+        };
+        if reply.as_ref().is_none_or(|r| r.kind() == ReplyKind::NotOwner) {
             self.owners_stale.notify_one();
         }
         reply
     }
 
+    /// Waits until a partition has another owner than this one, and has the owners read again meanwhile.
+    async fn owner_replaced(&self, partition: u32, owner: Option<SocketAddr>) {
+        let mut owners = self.owners.subscribe();
+        while timeout(ANSWER_TIMEOUT, owners.wait_for(|o| o.get(&partition).copied() != owner)).await.is_err()
+        {
+            self.owners_stale.notify_one();
+        }
+    }
+
+    /// Reports a shard's quotas to the coordinator; the reply has the new ones.
+    pub(crate) async fn report_quota(&self, report: QuotaReport) -> Option<Reply> {
+        let body = RequestBody::Quota(report);
+        let reply = self.ask_owner(self.coordinator_partition(), body, Duration::MAX).await?;
+        (reply.kind() == ReplyKind::Quota).then_some(reply)
+    }
+
     /// Answers a shard's report with its new quotas while this daemon is the coordinator.
     pub(super) fn divide_quota(&self, partition: u32, report: QuotaReport) -> Reply {
         let epoch = self.coordinator.lock().as_ref().map(|(e, _)| *e);
@@ -43,10 +71,10 @@
     }
 
     /// Requests the load of a service's workers, and tells the shard which of them are due for maintenance.
-    pub async fn service_load(&self, request: LoadRequest, timeout: Duration) -> Option<PoolLoad> {
+    pub async fn service_load(&self, request: LoadRequest) -> Option<PoolLoad> {
         let service = request.service.clone();
-        let body = RequestBody::Load(request);
-        let load = self.try_owner(self.partition_of(&service)?, body, timeout).await.ok()?.load?;
+        let partition = self.partition_of(&service)?;
+        let load = self.ask_owner(partition, RequestBody::Load(request), Duration::MAX).await?.load?;
         let LoadReply { demand, used, capacity, idle, expected, lacking } = load;
         Some(PoolLoad {
             name: service,
@@ -59,18 +87,20 @@
         })
     }
 
-    /// Uncordons a worker at its shard.
-    pub async fn uncordon_worker(&self, service: &str, worker: &str, timeout: Duration) {
+    /// Uncordons a worker at its shard. The answer tells nothing that is needed, so it is not waited for long.
+    pub async fn uncordon_worker(&self, service: &str, worker: &str) {
         let Some(partition) = self.partition_of(service) else { return };
-        if self.try_owner(partition, RequestBody::UncordonWorker(worker.to_owned()), timeout).await.is_err() {
-            tracing::info!(worker, "node: cannot uncordon worker");
+        let body = RequestBody::UncordonWorker(worker.to_owned());
+        if self.ask_owner(partition, body, ANSWER_TIMEOUT).await.is_none() {
+            tracing::info!(worker, "node: uncordoning a worker was not answered");
         }
     }
 
-    /// Cordons a worker at its shard and counts its remaining runs; `None` if the count is unknown.
-    pub async fn cordon_worker(&self, service: &str, worker: &str, timeout: Duration) -> Option<usize> {
+    /// Cordons a worker at its shard and counts its remaining runs; `None` if the count is unknown. An answer that
+    /// comes later than `within` would be of no use.
+    pub async fn cordon_worker(&self, service: &str, worker: &str, within: Duration) -> Option<usize> {
         let body = RequestBody::CordonWorker(worker.to_owned());
-        let reply = self.try_owner(self.partition_of(service)?, body, timeout).await.ok()?;
+        let reply = self.ask_owner(self.partition_of(service)?, body, within).await?;
         (reply.kind() == ReplyKind::Count).then(|| usize::try_from(reply.value).unwrap_or(usize::MAX))
     }
 }
--- a/components/relay/src/node/documents.rs
+++ b/components/relay/src/node/documents.rs
@@ -5,14 +5,16 @@
 use std::time::Duration;
 
 use tokio::sync::watch;
+use tokio::time::MissedTickBehavior;
 
 use super::Node;
 use crate::desired_state::DesiredState;
+use crate::in_flight::InFlight;
 use crate::message::{Reply, ReplyKind, RequestBody};
 
 /// Pause between queries to peers while the store does not answer.
 const PEER_QUERY_INTERVAL: Duration = Duration::from_millis(200);
-/// Time limit for such a query.
+/// Usual time limit for such a query.
 const PEER_QUERY_TIMEOUT: Duration = Duration::from_millis(200);
 
 impl Node {
@@ -20,7 +22,7 @@
     #[must_use]
     pub fn peers(&self) -> Vec<SocketAddr> {
         let mut peers = self.known_peers.lock().clone();
-        peers.extend(self.owners.lock().values());
+        peers.extend(self.owners.borrow().values());
         peers.remove(&self.options.mesh_addr);
         peers.into_iter().collect()
     }
@@ -43,8 +45,19 @@
     /// While the store does not answer, queries the peers in turn for newer documents.
     pub(super) async fn fetch_peer_documents(self: Arc<Self>, desired: Arc<watch::Sender<DesiredState>>) {
         let mut next_peer = 0;
+        let mut queries = InFlight::default();
+        let mut interval = tokio::time::interval(PEER_QUERY_INTERVAL);
+        interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            tokio::time::sleep(PEER_QUERY_INTERVAL).await;
+            tokio::select! {
+                newer = queries.next() => {
+                    if let Some(newer) = newer {
+                        desired.send_if_modified(|d| d.merge(newer));
+                    }
+                    continue;
+                }
+                _ = interval.tick() => {}
+            }
             let (stale, offset) = {
                 let desired = self.desired.borrow();
                 (desired.is_stale(), desired.offset)
@@ -53,20 +66,24 @@
                 continue;
             }
             let peers = self.peers();
-            let Some(peer) = peers.get(next_peer % peers.len().max(1)) else { continue };
+            let Some(&peer) = peers.get(next_peer % peers.len().max(1)) else { continue };
             next_peer += 1;
-            let Ok(reply) =
-                self.mesh.request(*peer, 0, RequestBody::Documents(offset), PEER_QUERY_TIMEOUT).await
-            else {
-                continue;
-            };
-            if reply.kind() != ReplyKind::Documents {
-                continue;
-            }
-            match serde_json::from_str::<DesiredState>(&reply.json) {
-                Ok(newer) => drop(desired.send_if_modified(|d| d.merge(newer))),
-                Err(error) => tracing::warn!(%error, "node: cannot decode documents of another daemon"),
+            if !queries.contains(&peer) {
+                let node = Arc::clone(&self);
+                queries.start(peer, async move { node.peer_documents(peer, offset).await });
             }
         }
     }
+
+    /// Documents of a peer that are newer than this offset.
+    async fn peer_documents(&self, peer: SocketAddr, offset: u64) -> Option<DesiredState> {
+        let limits = (PEER_QUERY_TIMEOUT, Duration::MAX);
+        let reply = self.mesh.request(peer, 0, RequestBody::Documents(offset), limits).await.ok()?;
+        if reply.kind() != ReplyKind::Documents {
+            return None;
+        }
+        serde_json::from_str(&reply.json)
+            .inspect_err(|error| tracing::warn!(%error, "node: cannot decode documents of another daemon"))
+            .ok()
+    }
 }
--- a/components/relay/src/node/ownership.rs
+++ b/components/relay/src/node/ownership.rs
@@ -138,7 +138,8 @@
         let parsed = |member: &Option<String>| member.as_deref().and_then(standby::parse_member);
         let owners: Vec<(u32, Option<(SocketAddr, bool)>)> =
             rows.iter().map(|(p, m)| (*p, parsed(m))).collect();
-        *self.owners.lock() = owners.iter().filter_map(|(p, owner)| Some((*p, (*owner)?.0))).collect();
+        let addresses = owners.iter().filter_map(|(p, owner)| Some((*p, (*owner)?.0))).collect();
+        self.owners.send_replace(addresses);
         if self.options.preferred {
             return;
         }
--- a/components/relay/src/owner.rs
+++ b/components/relay/src/owner.rs
@@ -28,8 +28,6 @@
 const QUOTA_URGENT_INTERVAL: Duration = Duration::from_millis(20);
 /// Pause between reports otherwise; unused quota is returned with this delay.
 const QUOTA_INTERVAL: Duration = Duration::from_millis(400);
-/// Time limit for the broker's reply.
-const QUOTA_TIMEOUT: Duration = Duration::from_millis(300);
 /// Pause between two looks for jobs at a standstill.
 const STANDSTILL_INTERVAL: Duration = Duration::from_secs(1);
 /// Time in milliseconds after which a standstill is logged; a wait for a machine to arrive is shorter.
@@ -331,7 +329,7 @@
         let sequence = report.sequence;
         let (node, messages) = (Arc::clone(&self.context.node), self.messages.clone());
         tokio::spawn(async move {
-            let reply = node.report_quota(report.into(), QUOTA_TIMEOUT).await;
+            let reply = node.report_quota(report.into()).await;
             // The driver may have ended.
             drop(messages.send(Message::Quota(sequence, reply.map(Reply::into_grants))).await);
         });
--- a/components/relay/tests/daemons/main.rs
+++ b/components/relay/tests/daemons/main.rs
@@ -3,6 +3,7 @@
 mod owner;
 mod platform;
 mod restart;
+mod slow_link;
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -75,7 +76,18 @@
 }
 
 fn start_daemon_at(listener: TcpListener, platform: &Arc<Platform>, n: usize, preferred: bool) -> Daemon {
-    let mesh_addr: SocketAddr = listener.local_addr().expect("an address");
+    let mesh_addr = listener.local_addr().expect("an address");
+    start_daemon_as(mesh_addr, listener, platform, n, preferred)
+}
+
+/// Starts a daemon that other daemons reach at `mesh_addr`.
+fn start_daemon_as(
+    mesh_addr: SocketAddr,
+    listener: TcpListener,
+    platform: &Arc<Platform>,
+    n: usize,
+    preferred: bool,
+) -> Daemon {
     let member = if preferred { mesh_addr.to_string() } else { format!("{mesh_addr}/standby") };
     let client = Arc::new(PlatformClient { platform: Arc::clone(platform), member: member.clone() });
     let options = NodeOptions {
@@ -121,7 +133,14 @@
 
 /// The daemon that owns the shard of the test service.
 fn owner<'a>(platform: &Platform, daemons: &'a [Daemon]) -> &'a Daemon {
-    let partition = config(1).partitions(PARTITIONS - 1)["quotes"];
+    owner_of(platform, daemons, config(1).partitions(PARTITIONS - 1)["quotes"])
+}
+
+fn coordinator<'a>(platform: &Platform, daemons: &'a [Daemon]) -> &'a Daemon {
+    owner_of(platform, daemons, PARTITIONS - 1)
+}
+
+fn owner_of<'a>(platform: &Platform, daemons: &'a [Daemon], partition: u32) -> &'a Daemon {
     let state = platform.state.lock();
     daemons.iter().find(|d| state.assignment(&d.member).partitions.contains(&partition)).expect("an owner")
 }
--- a/components/relay/tests/daemons/platform.rs
+++ b/components/relay/tests/daemons/platform.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use edge::{Call, Fault};
+use maintenance::{Machine, MachineState};
 use parking_lot::Mutex;
 use relay::platform::{
     AppendReply, Assignment, Changes, Document, KeyedRecords, Machines, OrderReply, Poll, PollReply, Store,
@@ -22,6 +23,7 @@
 const REPEATED_APPENDS: u64 = 5;
 /// Number of partitions; the last one is the coordinator's.
 pub const PARTITIONS: u32 = 4;
+const SPARE_POOL: &str = "spare";
 /// Run time of a task in milliseconds.
 pub const TASK_MS: u64 = 60;
 
@@ -50,6 +52,10 @@
     pub starts: Vec<(String, u32)>,
     /// Members that have read the list of workers.
     pub readers: HashSet<String>,
+    /// Machines of the spare pool.
+    pub spare_machines: Vec<String>,
+    /// Ordered moves, as machine and pool.
+    pub moves: Vec<(String, String)>,
 }
 
 #[derive(Debug, Default)]
@@ -308,12 +314,24 @@
 }
 
 impl Machines for PlatformClient {
-    fn list(&self) -> Call<'_, Vec<maintenance::Machine>> {
-        Box::pin(async move { Ok(Vec::new()) })
+    fn list(&self) -> Call<'_, Vec<Machine>> {
+        Box::pin(async move {
+            let state = self.platform.state.lock();
+            Ok(state.spare_machines.iter().map(|name| spare_machine(name)).collect())
+        })
     }
 
-    fn move_to_pool<'a>(&'a self, _: &'a str, _: &'a str, _: &'a str, _: u64) -> Call<'a, OrderReply> {
-        Box::pin(async move { Ok(OrderReply::NotReady) })
+    fn move_to_pool<'a>(
+        &'a self,
+        machine: &'a str,
+        pool: &'a str,
+        _: &'a str,
+        _: u64,
+    ) -> Call<'a, OrderReply> {
+        Box::pin(async move {
+            self.platform.state.lock().moves.push((machine.to_owned(), pool.to_owned()));
+            Ok(OrderReply::Done)
+        })
     }
 
     fn start_maintenance<'a>(&'a self, _: &'a str, _: u64, _: &'a str, _: u64) -> Call<'a, OrderReply> {
@@ -338,6 +356,17 @@
     }
 }
 
+fn spare_machine(name: &str) -> Machine {
+    Machine {
+        name: name.into(),
+        state: MachineState::Up,
+        pool: SPARE_POOL.into(),
+        zone: "z1".into(),
+        worker: String::new(),
+        cpu: 4_000,
+    }
+}
+
 fn info(id: &str) -> WorkerInfo {
     WorkerInfo {
         id: id.into(),
@@ -359,7 +388,10 @@
             max_attempts: 3,
             ..Queue::default()
         }],
-        pools: vec![Pool { name: "quotes".into(), spare: false }],
+        pools: vec![
+            Pool { name: "quotes".into(), spare: false },
+            Pool { name: SPARE_POOL.into(), spare: true },
+        ],
         customers: vec![Customer {
             name: "acme".into(),
             limit: Resources { cpu: 8_000, mem: 8_000, gpu: 0 },
