Lacking workers and stalls are looked for only where they can be found

Since each load request counted the usable workers for up to 24 waiting steps also in a backlog, where the demand alone has machines moved; since each poll computed the pace of every run on the worker. Both are skipped now where they cannot matter: lacking workers while the demand exceeds what is free, the pace before the shortest time without progress is over.

--- a/components/shard/src/health.rs
+++ b/components/shard/src/health.rs
@@ -87,7 +87,8 @@
             .runs
             .iter()
             .filter(|(_, r)| !r.long_running && !r.best_effort && matches!(r.phase, RunPhase::Running(_)))
-            .filter(|(t, r)| r.progress_percent < 100 && now >= r.progressed_at + self.progress_timeout(t, r))
+            .filter(|(_, r)| r.progress_percent < 100 && now >= r.progressed_at + PROGRESS_TIMEOUT_MS)
+            .filter(|(t, r)| now >= r.progressed_at + self.progress_timeout(t, r))
             .map(|(t, _)| *t)
             .collect();
         for task in &stalled {
--- a/components/shard/src/view.rs
+++ b/components/shard/src/view.rs
@@ -158,7 +158,10 @@
             load.demand =
                 load.demand.saturating_add(spec.reservation().times(u64::from(step.waiting_count)).cpu);
         }
-        load.lacking = self.lacking_workers(service);
+        // Workers that a backlog needs are counted by its demand, at less cost.
+        if load.demand <= load.capacity.saturating_sub(load.used) {
+            load.lacking = self.lacking_workers(service);
+        }
         load
     }
 }
