--- a/components/shard/src/rank.rs
+++ b/components/shard/src/rank.rs
@@ -44,8 +44,7 @@
         }
         let occurrence = job.occurrence(step_ref.occurrence);
         let start = occurrence.filter(|_| spec.repeat.is_some()).map_or(job.queued_since, |o| o.due_at);
-        let total = self.critical_path(job, None);
-        let remaining = self.critical_path(job, occurrence);
+        let (total, remaining) = self.critical_paths(job, occurrence);
         let objective = total * spec.stretch + to_float(spec.target);
         let due = to_float(start) + objective;
         let end = to_float(self.now) + remaining;
@@ -59,32 +58,26 @@
         (rank, spec.priority, to_ms(due))
     }
 
-    /// Expected length of the critical path in milliseconds, without the completed steps of `occurrence`.
-    fn critical_path(&self, job: &Job, occurrence: Option<&Occurrence>) -> f64 {
-        let mut ends: Vec<f64> = Vec::with_capacity(job.spec.steps.len());
+    /// Expected lengths of the critical path in milliseconds: of the whole job, and without the completed steps of
+    /// `occurrence`. Called for each waiting step in each pass, so both are computed in one go.
+    fn critical_paths(&self, job: &Job, occurrence: Option<&Occurrence>) -> (f64, f64) {
+        let average = self.average_durations.get(&job.spec.queue).copied();
+        let mut ends: Vec<(f64, f64)> = Vec::with_capacity(job.spec.steps.len());
         for (n, step) in job.spec.steps.iter().enumerate() {
             let done = occurrence.and_then(|o| o.steps.get(n)).is_some_and(Step::complete);
-            let start =
-                step.depends_on.iter().filter_map(|&a| ends.get(a as usize)).copied().fold(0.0, f64::max);
-            let duration = if done { 0.0 } else { self.expected_duration(&job.spec.queue, step.estimate) };
-            ends.push(start + duration);
+            let before = step.depends_on.iter().filter_map(|&a| ends.get(a as usize));
+            let (total, remaining) = before.copied().fold((0.0, 0.0), later);
+            let duration = expected_duration(average, step.estimate);
+            ends.push((total + duration, if done { remaining } else { remaining + duration }));
         }
-        ends.into_iter().fold(0.0, f64::max)
-    }
-
-    /// Expected duration of a task in milliseconds. Callers' estimates are far off, so this is the geometric
-    /// mean of the estimate and the queue's average duration, in which the average counts twice.
-    fn expected_duration(&self, queue: &str, estimate: Ms) -> f64 {
-        let estimate = to_float(estimate).max(1.0);
-        self.average_durations.get(queue).map_or(estimate, |t| (t * t * estimate).cbrt())
+        ends.into_iter().fold((0.0, 0.0), later)
     }
 
     /// Expected work of a job's tasks that end, in thousandths of a core times milliseconds.
     pub(crate) fn expected_work(&self, spec: &JobSpec) -> f64 {
+        let average = self.average_durations.get(&spec.queue).copied();
         let ending = spec.steps.iter().filter(|s| !s.long_running && !s.best_effort);
-        ending
-            .map(|s| to_float(s.cpu) * f64::from(s.count) * self.expected_duration(&spec.queue, s.estimate))
-            .sum()
+        ending.map(|s| to_float(s.cpu) * f64::from(s.count) * expected_duration(average, s.estimate)).sum()
     }
 
     /// Adds the duration of a completed task to its queue's average.
@@ -97,3 +90,15 @@
         }
     }
 }
+
+/// Expected duration of a task in milliseconds. Callers' estimates are far off, so this is the geometric mean of the
+/// estimate and the queue's average duration, in which the average counts twice.
+fn expected_duration(average: Option<f64>, estimate: Ms) -> f64 {
+    let estimate = to_float(estimate).max(1.0);
+    average.map_or(estimate, |t| (t * t * estimate).cbrt())
+}
+
+/// The later end of each of two pairs.
+const fn later(a: (f64, f64), b: (f64, f64)) -> (f64, f64) {
+    (a.0.max(b.0), a.1.max(b.1))
+}
