--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -24,6 +24,7 @@
 mod rate_limiter;
 mod repeat;
 mod standby;
+mod standstill;
 mod worker_list;
 
 pub use answer_limit::AnswerLimit;
--- a/components/relay/src/owner.rs
+++ b/components/relay/src/owner.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use quota::{Grant, ShardQuota};
-use shard::{Action, Input, JobSpec, Obstacle, Record, Shard, Standstill, StartReply, Timing, WorkerInfo};
+use shard::{Action, Input, JobSpec, Record, Shard, StartReply, Timing, WorkerInfo};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
 
@@ -16,6 +16,7 @@
 use crate::node::{EPOCHS_PER_GENERATION, Node};
 use crate::partition::{self, Outcome};
 use crate::platform::{Poll, PollReply, Store, Workers};
+use crate::standstill;
 use crate::worker_list::WorkerList;
 
 /// Longest time between two steps.
@@ -30,8 +31,6 @@
 const QUOTA_INTERVAL: Duration = Duration::from_millis(400);
 /// Pause between two looks for jobs at a standstill.
 const STANDSTILL_INTERVAL: Duration = Duration::from_secs(1);
-/// Time in milliseconds after which a standstill is logged; a wait for a machine to arrive is shorter.
-const STANDSTILL_LOG_MS: u64 = 3_000;
 /// Capacity of a shard's channel, in messages.
 const CHANNEL_CAPACITY: usize = 8_192;
 
@@ -192,7 +191,7 @@
                 break;
             }
         }
-        record_standstill(self.partition, None);
+        standstill::report(self.partition, None);
         tracing::info!(part = self.partition, epoch = self.shard.epoch(), "owner: shard released");
     }
 
@@ -335,28 +334,12 @@
         });
     }
 
-    /// Logs and counts jobs that have a ready task and nothing running, with the cause of the longest wait.
+    /// Looks for jobs at a standstill from time to time.
     fn report_standstill(&mut self) {
-        if self.looked_at.elapsed() < STANDSTILL_INTERVAL {
-            return;
+        if self.looked_at.elapsed() >= STANDSTILL_INTERVAL {
+            self.looked_at = Instant::now();
+            standstill::report(self.partition, self.shard.find_standstill().as_ref());
         }
-        self.looked_at = Instant::now();
-        let found = self.shard.find_standstill();
-        record_standstill(self.partition, found.as_ref());
-        let Some(found) = found.filter(|s| s.elapsed >= STANDSTILL_LOG_MS) else { return };
-        tracing::info!(
-            part = self.partition,
-            task = %found.task,
-            customer = %found.customer,
-            ms = found.elapsed,
-            jobs = found.jobs,
-            why = found.obstacle.label(),
-            needed = ?found.needed,
-            quota = ?found.quota,
-            used = ?found.used,
-            workers = ?found.workers,
-            "owner: job at a standstill"
-        );
     }
 
     /// Passes the workers of this shard to the state machine.
@@ -481,16 +464,6 @@
     }
 }
 
-/// Sets the time that the longest standstill of a shard has lasted, by what holds the job.
-fn record_standstill(partition: u32, standstill: Option<&Standstill>) {
-    for obstacle in Obstacle::ALL {
-        let elapsed = standstill.filter(|s| s.obstacle == obstacle).map_or(0, |s| s.elapsed);
-        let labels = [("part", partition.to_string()), ("why", obstacle.label().to_owned())];
-        metrics::gauge!("lagoonrelay_standstill_seconds", &labels)
-            .set(Duration::from_millis(elapsed).as_secs_f64());
-    }
-}
-
 /// Sends an input to the driver.
 async fn send(messages: &mpsc::Sender<Message>, input: Input) {
     // The driver may have ended.
