Answer times between daemons are measured

A late answer left no trace: the standstills of slow hosts showed why=quota, not that each answer of the broker came too late. lagoonrelay_peer_answer_seconds and lagoonrelay_peer_requests_unanswered_total tell it.

--- a/components/relay/src/mesh.rs
+++ b/components/relay/src/mesh.rs
@@ -78,10 +78,16 @@
         let limit = self.limits.lock().get(&addr).map_or(usual, |l| l.get().max(usual));
         let started = Instant::now();
         let reply = self.exchange(addr, partition, body, limit.min(most)).await;
-        let mut limits = self.limits.lock();
+        let elapsed = started.elapsed();
         match reply {
-            Ok(_) => limits.entry(addr).or_default().answered(started.elapsed()),
-            Err(MeshError::NoReply) => limits.entry(addr).or_default().unanswered(started.elapsed()),
+            Ok(_) => {
+                metrics::histogram!("lagoonrelay_peer_answer_seconds").record(elapsed);
+                self.limits.lock().entry(addr).or_default().answered(elapsed);
+            }
+            Err(MeshError::NoReply) => {
+                metrics::counter!("lagoonrelay_peer_requests_unanswered_total").increment(1);
+                self.limits.lock().entry(addr).or_default().unanswered(elapsed);
+            }
             Err(MeshError::NotSent) => {}
         }
         reply
