The test of a pool behind late answers counts its job for as long as it runs

A job that is late counts for no pool's size, and this one was late after a second, so the first load that came in time could be the last one that mattered.

--- a/components/relay/tests/daemons/slow_link.rs
+++ b/components/relay/tests/daemons/slow_link.rs
@@ -99,6 +99,8 @@
     let (platform, daemons) = start_far_fleet().await;
     let mut wide = job(1);
     wide.steps[0].count = 10_000;
+    // A job that is late counts for no pool's size, and this one has to count for the whole test.
+    wide.target = 600_000;
     submit_at_owner(&platform, &daemons, wide).await;
     eventually("a machine is moved", || async { !platform.state.lock().moves.is_empty() }).await;
     assert_that!(platform.state.lock().moves, contains(eq(&("m1".to_owned(), "quotes".to_owned()))));
