Partitions of services are assigned once, in the log

What callers saw: a version of the configuration added a pool.

Cause: the partition of a service was computed from the sorted names of all services, so a new name moved the services after it to other partitions, while their records stayed. Two owners then commanded the same workers.

Change: daemons propose partitions in records of a topic of their own, and the first record that names a service counts, whichever versions they use. An assignment never changes. All assigned partitions are owned, also of services that are gone. A job that the shard of its queue's service does not have is looked for in all other shards. The first record is written after a look for jobs of older versions in all partitions; a service stays where most of its jobs are.

The tests of a single refusal wait until the daemon is ready instead of until it has a configuration: ready now also means that it knows the partitions.

--- a/components/relay/src/configuration.rs
+++ b/components/relay/src/configuration.rs
@@ -1,4 +1,4 @@
-//! The operators' configuration in the product's terms, and the partition of each service.
+//! The operators' configuration in the product's terms, and partitions for new services.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::hash::{Hash, Hasher};
@@ -141,35 +141,47 @@
         weights().any(|w| w > 0 && w.saturating_mul(DOMINANT_DIVISOR) >= total)
     }
 
-    /// Assigns each service one of `count` partitions; the partition after them is the coordinator's.
+    /// Names of all services.
+    #[must_use]
+    pub fn services(&self) -> BTreeSet<&str> {
+        let queues = self.queues.iter().map(|q| q.service.as_str());
+        self.pools.iter().map(|p| p.name.as_str()).chain(queues).collect()
+    }
+
+    /// Partitions for the services that are not in `assigned`: of `count` partitions, as the one after them is the
+    /// coordinator's. Prefers those that no service has ever had, then those of services that are gone.
     ///
-    /// A service keeps its partition as long as the services before it in alphabetical order stay the same.
     /// The store assigns adjacent partitions to the same member, so partitions in use are spaced apart.
     #[must_use]
-    pub fn partitions(&self, count: u32) -> HashMap<String, u32> {
-        let mut names: Vec<&str> = self.pools.iter().map(|p| p.name.as_str()).collect();
-        names.extend(self.queues.iter().map(|q| q.service.as_str()));
-        names.sort_unstable();
-        names.dedup();
-        let mut used = vec![count];
-        let mut table = HashMap::new();
-        for name in names {
-            let partition = pick_partition(hash_partition(name, count), count, &used);
+    pub fn new_partitions(&self, count: u32, assigned: &BTreeMap<String, u32>) -> BTreeMap<String, u32> {
+        let names = self.services();
+        let present = assigned.iter().filter(|(name, _)| names.contains(name.as_str()));
+        let mut used: Vec<u32> = present.map(|(_, partition)| *partition).collect();
+        used.push(count);
+        let mut ever_used: Vec<u32> = assigned.values().copied().collect();
+        ever_used.push(count);
+        let mut added = BTreeMap::new();
+        for name in names.into_iter().filter(|name| !assigned.contains_key(*name)) {
+            let home = hash_partition(name, count);
+            let partition =
+                pick_partition(home, count, &ever_used).or_else(|| pick_partition(home, count, &used));
+            let partition = partition.unwrap_or(home);
             used.push(partition);
-            table.insert(name.to_owned(), partition);
+            ever_used.push(partition);
+            added.insert(name.to_owned(), partition);
         }
-        table
+        added
     }
 }
 
 /// First partition from `home` on with the largest possible distance from those in use, up to
-/// [`TARGET_SPACING`].
-fn pick_partition(home: u32, count: u32, used: &[u32]) -> u32 {
+/// [`TARGET_SPACING`]; `None` if all are in use.
+fn pick_partition(home: u32, count: u32, used: &[u32]) -> Option<u32> {
     let ring = count + 1;
     let distance = |a: u32, b: u32| a.abs_diff(b).min(ring - a.abs_diff(b));
     let from_home = || (0..count).map(|step| (home + step) % count);
     let spaced = |least: u32| from_home().find(|p| used.iter().all(|t| distance(*p, *t) >= least));
-    (1..=TARGET_SPACING).rev().find_map(spaced).unwrap_or(home)
+    (1..=TARGET_SPACING).rev().find_map(spaced)
 }
 
 /// Preferred partition of a service, by the hash of its name.
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -20,6 +20,7 @@
 mod node;
 mod owner;
 mod partition;
+mod partition_map;
 pub mod platform;
 mod rate_limiter;
 mod repeat;
--- a/components/relay/src/node.rs
+++ b/components/relay/src/node.rs
@@ -8,7 +8,7 @@
 
 use parking_lot::Mutex;
 use quota::Broker;
-use shard::{JobSpec, JobState, Timing};
+use shard::{JobState, Timing};
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
@@ -19,25 +19,21 @@
 use crate::mesh::{self, Mesh, MeshError};
 use crate::message::{Reply, ReplyKind, Request, RequestBody};
 use crate::owner::ShardHandle;
+use crate::partition_map::PartitionLog;
 use crate::platform::{Machines, Store, Workers};
 use crate::standby::{self, Role};
 use crate::worker_list::{self, WorkerList};
 
+mod assignment;
 mod coordination;
 mod documents;
+mod jobs;
 mod ownership;
 
 pub(crate) use ownership::EPOCHS_PER_GENERATION;
 
-/// Pause between two attempts to reach a shard's owner.
-const RETRY_PAUSE: Duration = Duration::from_millis(60);
-/// Time after which a request is refused if it has not reached the shard's owner. A change of owner takes
-/// longer, so a longer wait would only delay the caller.
-const UNREACHABLE_WAIT: Duration = Duration::from_millis(300);
 /// Most peers that are remembered; peers that were replaced stay in the set until the process ends.
 const MAX_KNOWN_PEERS: usize = 1_024;
-/// Usual time limit for one attempt to reach an owner, within the caller's time limit.
-const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Identity, dependencies and settings of a daemon.
 #[derive(Debug)]
@@ -115,16 +111,22 @@
     last_epoch: Mutex<u64>,
     /// Time until which requests are served during a drain.
     drain_deadline: Mutex<Option<Instant>>,
-    /// Epoch and task of the coordinator, if this daemon is the coordinator.
-    coordinator: Mutex<Option<(u64, tokio::task::JoinHandle<()>)>>,
+    /// The coordinator, if this daemon runs it.
+    coordinator: Mutex<Option<Coordination>>,
     /// Broker of customers' limits, and the coordinator's epoch that it belongs to.
     broker: Mutex<(u64, Broker)>,
-    /// Version of the configuration and its partition map.
-    partition_map: Mutex<Option<(u64, PartitionMap)>>,
+    /// Partitions of services.
+    partitions: PartitionLog,
 }
 
-/// Partition of each service.
-type PartitionMap = Arc<HashMap<String, u32>>;
+/// The coordinator that this daemon runs.
+#[derive(Debug)]
+struct Coordination {
+    epoch: u64,
+    /// Monotonic time of its start.
+    started_at: u64,
+    task: tokio::task::JoinHandle<()>,
+}
 
 impl Node {
     /// Starts all tasks of a daemon.
@@ -142,6 +144,7 @@
         let (workers_needed, needed) = watch::channel(false);
         tokio::spawn(worker_list::run(Arc::clone(&options.store), worker_list_tx, needed));
         let mesh_addr = options.mesh_addr;
+        let partitions = PartitionLog::new(Arc::clone(&options.store), options.partitions.saturating_sub(1));
         let node = Arc::new(Self {
             options,
             mesh: Mesh::new(mesh_addr),
@@ -160,9 +163,10 @@
             drain_deadline: Mutex::default(),
             coordinator: Mutex::default(),
             broker: Mutex::default(),
-            partition_map: Mutex::default(),
+            partitions,
         });
         tokio::spawn(Arc::clone(&node).reconcile_shards());
+        tokio::spawn(Arc::clone(&node).keep_partitions());
         tokio::spawn(Arc::clone(&node).track_owners());
         tokio::spawn(Arc::clone(&node).fetch_peer_documents(desired_tx));
         let handler = Arc::clone(&node);
@@ -179,10 +183,12 @@
         self.desired.borrow().config.clone()
     }
 
-    /// True if the load balancer may send requests to this daemon.
+    /// True if the load balancer may send requests to this daemon: it does not drain, has a configuration and knows
+    /// which partitions hold jobs.
     #[must_use]
     pub fn ready(&self) -> bool {
-        !self.draining.load(Ordering::Relaxed) && self.desired.borrow().config.is_some()
+        let draining = self.draining.load(Ordering::Relaxed);
+        !draining && self.desired.borrow().config.is_some() && !self.partitions.newest().is_empty()
     }
 
     /// Gives up all shards and stops being ready. Requests are still forwarded until `timeout` has passed.
@@ -195,57 +201,6 @@
         self.stopping.send_replace(true);
     }
 
-    /// Submits a job.
-    pub async fn submit(&self, spec: JobSpec, timeout: Duration) -> Outcome {
-        let service = spec.service.clone();
-        self.call_owner(&service, RequestBody::Submit(spec), timeout).await
-    }
-
-    /// Cancels a job.
-    pub async fn cancel(&self, service: &str, id: &str, timeout: Duration) -> Outcome {
-        self.call_owner(service, RequestBody::Cancel(id.to_owned()), timeout).await
-    }
-
-    /// Queries a job's state.
-    pub async fn job_state(&self, service: &str, id: &str, timeout: Duration) -> Outcome {
-        self.call_owner(service, RequestBody::JobState(id.to_owned()), timeout).await
-    }
-
-    /// Counts a queue's waiting jobs.
-    pub async fn count_waiting(&self, service: &str, queue: &str, timeout: Duration) -> Outcome {
-        self.call_owner(service, RequestBody::CountWaiting(queue.to_owned()), timeout).await
-    }
-
-    /// Sends a request to a shard's owner, and retries until it succeeds or the time is over.
-    async fn call_owner(&self, service: &str, body: RequestBody, timeout: Duration) -> Outcome {
-        let deadline = Instant::now() + timeout;
-        let deadline = self.drain_deadline.lock().map_or(deadline, |drain| deadline.min(drain));
-        let mut uncertain = false;
-        let give_up_at = deadline.min(Instant::now() + UNREACHABLE_WAIT);
-        loop {
-            let remaining = deadline.saturating_duration_since(Instant::now());
-            if remaining.is_zero() {
-                return if uncertain { Outcome::Uncertain } else { Outcome::Refused { retry_ms: 0 } };
-            }
-            if let Some(partition) = self.partition_of(service) {
-                match self.try_owner(partition, body.clone(), (ATTEMPT_TIMEOUT, remaining)).await {
-                    Ok(reply) => {
-                        if let Some(outcome) = caller_outcome(&reply) {
-                            return if uncertain { after_lost_try(outcome) } else { outcome };
-                        }
-                        uncertain |= reply.kind() == ReplyKind::Uncertain;
-                    }
-                    Err(error) => uncertain |= error == MeshError::NoReply,
-                }
-                self.owners_stale.notify_one();
-            }
-            if !uncertain && Instant::now() >= give_up_at {
-                return Outcome::Refused { retry_ms: 0 };
-            }
-            tokio::time::sleep(RETRY_PAUSE.min(remaining)).await;
-        }
-    }
-
     /// Sends a request once to a partition's owner, which may be this daemon. Waits for the `usual` time or, if the
     /// owner's answers take longer, up to `most`.
     async fn try_owner(
@@ -319,7 +274,7 @@
     #[must_use]
     pub fn holds_partition(&self, partition: u32, epoch: u64) -> bool {
         let membership = self.membership.borrow();
-        let current = self.coordinator.lock().as_ref().is_some_and(|(e, _)| *e == epoch);
+        let current = self.coordinator.lock().as_ref().is_some_and(|c| c.epoch == epoch);
         current && membership.is_valid() && membership.assignment.partitions.contains(&partition)
     }
 
@@ -328,47 +283,12 @@
         self.options.partitions.saturating_sub(1)
     }
 
-    /// Partition of each service, computed once for each version of the configuration.
-    pub(crate) fn partition_map(&self) -> Option<PartitionMap> {
-        let config = self.config()?;
-        let mut slot = self.partition_map.lock();
-        if let Some((version, partition_map)) = &*slot
-            && *version == config.version
-        {
-            return Some(Arc::clone(partition_map));
-        }
-        let partition_map = Arc::new(config.partitions(self.coordinator_partition()));
-        *slot = Some((config.version, Arc::clone(&partition_map)));
-        Some(partition_map)
+    /// Partitions of services, as last read.
+    pub(crate) const fn partitions(&self) -> &PartitionLog {
+        &self.partitions
     }
 
     fn partition_of(&self, service: &str) -> Option<u32> {
-        self.partition_map()?.get(service).copied()
-    }
-}
-
-/// Outcome for the caller after an earlier try without an answer. That try may still reach the owner and be
-/// carried out, so a refusal of the last try is not the last word.
-const fn after_lost_try(outcome: Outcome) -> Outcome {
-    match outcome {
-        Outcome::Refused { .. } => Outcome::Uncertain,
-        outcome => outcome,
-    }
-}
-
-/// Outcome for the caller; `None` if the request is to be retried.
-fn caller_outcome(reply: &Reply) -> Option<Outcome> {
-    match reply.kind() {
-        ReplyKind::Done => Some(Outcome::Done),
-        ReplyKind::Refused => Some(Outcome::Refused { retry_ms: reply.value }),
-        ReplyKind::NotFound => Some(Outcome::NotFound),
-        ReplyKind::State => reply.as_job_state().map(Outcome::State),
-        ReplyKind::Count => Some(Outcome::Count(reply.value)),
-        ReplyKind::Unspecified
-        | ReplyKind::Quota
-        | ReplyKind::Load
-        | ReplyKind::Documents
-        | ReplyKind::NotOwner
-        | ReplyKind::Uncertain => None,
+        self.partitions.newest().service(service)
     }
 }
--- a/components/relay/src/node/coordination.rs
+++ b/components/relay/src/node/coordination.rs
@@ -51,9 +51,12 @@
 
     /// Answers a shard's report with its new quotas while this daemon is the coordinator.
     pub(super) fn divide_quota(&self, partition: u32, report: QuotaReport) -> Reply {
-        let epoch = self.coordinator.lock().as_ref().map(|(e, _)| *e);
-        let (Some(epoch), Some(config), Some(partition_map)) = (epoch, self.config(), self.partition_map())
-        else {
+        let coordinator = self.coordinator.lock().as_ref().map(|c| (c.epoch, c.started_at));
+        let (Some((epoch, started_at)), Some(config)) = (coordinator, self.config()) else {
+            return Reply::of(ReplyKind::NotOwner);
+        };
+        // Shards that an older read lacks may hold quota.
+        let Some(partitions) = self.partitions.newest_since(started_at) else {
             return Reply::of(ReplyKind::NotOwner);
         };
         if !self.holds_partition(partition, epoch) {
@@ -63,8 +66,7 @@
         if slot.0 != epoch {
             *slot = (epoch, Broker::default());
         }
-        let shards = partition_map.values().copied().collect();
-        slot.1.configure(config.customer_limits(), shards);
+        slot.1.configure(config.customer_limits(), partitions.partitions());
         slot.1
             .handle_report(monotonic_ms(), &report.into())
             .map_or(Reply::of(ReplyKind::NotOwner), Reply::quota)
--- a/components/relay/src/node/ownership.rs
+++ b/components/relay/src/node/ownership.rs
@@ -1,12 +1,11 @@
 //! Ownership of shards by this daemon, and the owners of all partitions.
 
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use super::Node;
+use super::{Coordination, Node};
 use crate::clock::monotonic_ms;
 use crate::coordinator::Coordinator;
 use crate::membership::Membership;
@@ -20,17 +19,18 @@
 pub const EPOCHS_PER_GENERATION: u64 = 64;
 
 impl Node {
-    /// Reconciles the owned shards with the assignment whenever it or the configuration changes, and
+    /// Reconciles the owned shards with the assignment whenever it or the partitions of services change, and
     /// periodically.
     pub(super) async fn reconcile_shards(self: Arc<Self>) {
         let mut membership = self.membership.clone();
-        let mut desired = self.desired.clone();
+        let mut partitions = self.partitions().subscribe();
         loop {
+            partitions.borrow_and_update();
             self.reconcile(&membership.borrow_and_update().clone());
             let interval = tokio::time::sleep(RECONCILE_INTERVAL);
             tokio::select! {
                 changed = membership.changed() => if changed.is_err() { return },
-                changed = desired.changed() => if changed.is_err() { return },
+                changed = partitions.changed() => if changed.is_err() { return },
                 () = interval => {}
             }
         }
@@ -41,8 +41,8 @@
         if self.draining.load(Ordering::Relaxed) {
             return;
         }
-        let Some(partition_map) = self.partition_map() else { return };
-        let active: BTreeSet<u32> = partition_map.values().copied().collect();
+        // Also those of services that the configuration no longer has: they hold jobs.
+        let active = self.partitions().newest().partitions();
         self.owned.lock().retain(|_, owner| !owner.has_ended());
         if !membership.is_valid() {
             return;
@@ -66,7 +66,7 @@
     fn reconcile_coordinator(self: &Arc<Self>, membership: &Membership) {
         let partition = self.coordinator_partition();
         let assigned = membership.assignment.partitions.contains(&partition);
-        let running = self.coordinator.lock().as_ref().is_some_and(|(_, task)| !task.is_finished());
+        let running = self.coordinator.lock().as_ref().is_some_and(|c| !c.task.is_finished());
         if !assigned {
             *self.coordinator.lock() = None;
         } else if !running {
@@ -82,7 +82,8 @@
                 orders_per_s: self.options.orders_per_s,
             };
             let mut slot = self.coordinator.lock();
-            *slot = Some((epoch, tokio::spawn(coordinator.run())));
+            let (started_at, task) = (monotonic_ms(), tokio::spawn(coordinator.run()));
+            *slot = Some(Coordination { epoch, started_at, task });
         }
     }
 
--- a/components/relay/src/owner.rs
+++ b/components/relay/src/owner.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use quota::{Grant, ShardQuota};
-use shard::{Action, Input, JobSpec, Record, Shard, StartReply, Timing, WorkerInfo};
+use shard::{Action, Input, JobSpec, Record, Shard, StartReply, Timing};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
 
@@ -170,6 +170,7 @@
 
     async fn run(mut self, mut inbox: mpsc::Receiver<Message>) {
         let mut last_step = Instant::now();
+        let mut partitions = self.context.node.partitions().subscribe();
         self.apply_desired_state();
         self.apply_worker_list();
         loop {
@@ -181,6 +182,7 @@
                 () = tokio::time::sleep_until(last_step + MAX_STEP_INTERVAL) => {}
                 _ = self.context.desired.changed() => self.apply_desired_state(),
                 _ = self.context.worker_list.changed() => self.apply_worker_list(),
+                _ = partitions.changed() => self.apply_worker_list(),
             }
             let step_at =
                 last_step + if self.shard.backlogged() { BATCH_WINDOW_CROWDED } else { BATCH_WINDOW };
@@ -365,13 +367,18 @@
 
     /// Passes the workers of this shard to the state machine.
     fn apply_worker_list(&mut self) {
-        let worker_list = self.context.worker_list.borrow_and_update().clone();
-        let (Some(worker_list), Some(partition_map)) = (worker_list, self.context.node.partition_map())
-        else {
-            return;
-        };
-        let mine = |w: &&WorkerInfo| partition_map.get(&w.service) == Some(&self.partition);
-        let list = worker_list.values().filter(mine).cloned().collect();
+        let Some(worker_list) = self.context.worker_list.borrow_and_update().clone() else { return };
+        let partitions = self.context.node.partitions().newest();
+        let mut list = Vec::new();
+        for worker in worker_list.values() {
+            match partitions.service(&worker.service) {
+                Some(partition) if partition == self.partition => list.push(worker.clone()),
+                Some(_) if self.shard.has_worker(&worker.id) => {
+                    self.apply(Input::Foreign { worker: worker.id.clone() });
+                }
+                Some(_) | None => {}
+            }
+        }
         self.apply(Input::Workers(list));
     }
 
--- a/components/relay/src/platform.rs
+++ b/components/relay/src/platform.rs
@@ -44,6 +44,15 @@
     pub entries: Vec<(String, Option<T>)>,
 }
 
+/// The records of the topic with the partitions of services, in the order of the log.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct AssignmentTopic {
+    /// Values of the records.
+    pub records: Vec<Vec<u8>>,
+    /// Offset after the last record.
+    pub end: u64,
+}
+
 /// The platform's store.
 pub trait Store: Send + Sync + std::fmt::Debug {
     /// Joins the group of daemons, or renews the membership.
@@ -67,6 +76,13 @@
     /// Reads the newest value of each key of a shard's partition.
     fn read_partition(&self, partition: u32) -> Call<'_, KeyedRecords>;
 
+    /// Reads the topic with the partitions of services.
+    fn read_assignments(&self) -> Call<'_, AssignmentTopic>;
+
+    /// Appends a record to the topic with the partitions of services, unless the topic ends elsewhere than at `end`;
+    /// returns whether it was appended there.
+    fn append_assignments<'a>(&'a self, key: &'a str, value: &'a [u8], end: u64) -> Call<'a, bool>;
+
     /// Reads the operators' documents changed since an offset and waits for a change; `None` reads all.
     fn read_documents(&self, from: Option<u64>) -> Call<'_, Changes<Document>>;
 
--- a/components/relay/tests/configuration.rs
+++ b/components/relay/tests/configuration.rs
@@ -1,5 +1,7 @@
 //! Assignment of services to partitions.
 
+use std::collections::BTreeMap;
+
 use googletest::prelude::*;
 use relay::{Configuration, Customer, Pool};
 
@@ -19,7 +21,7 @@
     for seed in 0..200 {
         let names: Vec<String> = (0..5).map(|n| format!("service-{seed}-{n}")).collect();
         let config = config_of(&names.iter().map(String::as_str).collect::<Vec<_>>());
-        let mut partitions: Vec<u32> = config.partitions(23).into_values().collect();
+        let mut partitions: Vec<u32> = config.new_partitions(23, &BTreeMap::new()).into_values().collect();
         partitions.push(23);
         for (n, a) in partitions.iter().enumerate() {
             assert_that!(partitions[n + 1..].iter().map(|b| distance(*a, *b)).min().unwrap_or(24), ge(2));
@@ -31,20 +33,33 @@
 fn more_services_than_partitions_share_them() {
     let names: Vec<String> = (0..60).map(|n| format!("s{n}")).collect();
     let config = config_of(&names.iter().map(String::as_str).collect::<Vec<_>>());
-    let partitions = config.partitions(23);
+    let partitions = config.new_partitions(23, &BTreeMap::new());
     assert_that!(partitions.len(), eq(60));
     assert_that!(partitions.values().all(|p| *p < 23), eq(true));
 }
 
+/// Guards against jobs that become unknown because a new pool changes the partitions of others.
 #[test]
-fn a_service_keeps_its_partition_when_a_later_name_is_added() {
-    let before = config_of(&["a", "b", "c"]).partitions(23);
-    let after = config_of(&["a", "b", "c", "d"]).partitions(23);
-    for name in ["a", "b", "c"] {
-        assert_that!(after[name], eq(before[name]));
+fn services_keep_their_partitions_whatever_names_are_added() {
+    let assigned = config_of(&["b", "c", "d"]).new_partitions(23, &BTreeMap::new());
+    for name in ["a", "bb", "cc", "e"] {
+        let added = config_of(&["b", "c", "d", name]).new_partitions(23, &assigned);
+        assert_that!(added.keys().collect::<Vec<_>>(), elements_are![eq(&name)]);
+        assert_that!(assigned.values().any(|p| *p == added[name]), eq(false));
     }
 }
 
+/// Guards against a service without a partition once all have been used by services that are gone.
+#[test]
+fn a_new_service_takes_the_partition_of_one_that_is_gone_before_it_shares_one() {
+    let all: Vec<String> = (0..23).map(|n| format!("s{n:02}")).collect();
+    let assigned =
+        config_of(&all.iter().map(String::as_str).collect::<Vec<_>>()).new_partitions(23, &BTreeMap::new());
+    let present: Vec<&str> = all.iter().skip(1).map(String::as_str).chain(["new"]).collect();
+    let added = config_of(&present).new_partitions(23, &assigned);
+    assert_that!(added["new"], eq(assigned["s00"]));
+}
+
 /// Guards against overload control in deployments whose customers are all small.
 #[gtest]
 fn only_a_customer_with_a_quarter_of_all_weight_is_dominant() {
--- a/components/relay/tests/daemons/main.rs
+++ b/components/relay/tests/daemons/main.rs
@@ -2,11 +2,12 @@
 
 mod owner;
 mod platform;
+mod pools;
 mod restart;
 mod slow_link;
 mod slow_store;
 
-use std::collections::HashSet;
+use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -134,9 +135,14 @@
     .await;
 }
 
+/// Partition of the test service.
+fn quotes_partition() -> u32 {
+    config(1).new_partitions(PARTITIONS - 1, &BTreeMap::new())["quotes"]
+}
+
 /// The daemon that owns the shard of the test service.
 fn owner<'a>(platform: &Platform, daemons: &'a [Daemon]) -> &'a Daemon {
-    owner_of(platform, daemons, config(1).partitions(PARTITIONS - 1)["quotes"])
+    owner_of(platform, daemons, quotes_partition())
 }
 
 fn coordinator<'a>(platform: &Platform, daemons: &'a [Daemon]) -> &'a Daemon {
@@ -270,7 +276,7 @@
 #[tokio::test]
 async fn a_refusal_after_a_try_without_an_answer_does_not_say_that_the_job_was_not_run() {
     let daemon = start_beside_owner(&[Answer::Silence, Answer::Refused]).await;
-    eventually("the configuration", || async { daemon.node.config().is_some() }).await;
+    eventually("the daemon is ready", || async { daemon.node.ready() }).await;
     // The first try may still be on its way to the owner.
     let outcome = daemon.node.submit(job(1), CALL_TIMEOUT).await;
     assert_that!(outcome, eq(Outcome::Uncertain));
@@ -279,7 +285,7 @@
 #[tokio::test]
 async fn a_refusal_of_the_only_try_says_that_the_job_was_not_run() {
     let daemon = start_beside_owner(&[Answer::Refused]).await;
-    eventually("the configuration", || async { daemon.node.config().is_some() }).await;
+    eventually("the daemon is ready", || async { daemon.node.ready() }).await;
     let outcome = daemon.node.submit(job(1), CALL_TIMEOUT).await;
     assert_that!(outcome, eq(Outcome::Refused { retry_ms: 0 }));
 }
@@ -288,7 +294,7 @@
 #[tokio::test]
 async fn a_refusal_carries_the_time_until_the_caller_may_return() {
     let daemon = start_beside_owner(&[Answer::RefusedFor(4_200)]).await;
-    eventually("the configuration", || async { daemon.node.config().is_some() }).await;
+    eventually("the daemon is ready", || async { daemon.node.ready() }).await;
     let outcome = daemon.node.submit(job(1), CALL_TIMEOUT).await;
     assert_that!(outcome, eq(Outcome::Refused { retry_ms: 4_200 }));
 }
--- a/components/relay/tests/daemons/platform.rs
+++ b/components/relay/tests/daemons/platform.rs
@@ -8,8 +8,8 @@
 use maintenance::{Machine, MachineState};
 use parking_lot::Mutex;
 use relay::platform::{
-    AppendReply, Assignment, Changes, Document, KeyedRecords, Machines, OrderReply, Poll, PollReply, Store,
-    Workers,
+    AppendReply, Assignment, AssignmentTopic, Changes, Document, KeyedRecords, Machines, OrderReply, Poll,
+    PollReply, Store, Workers,
 };
 use relay::{Configuration, Customer, Pool, Queue, Role, monotonic_ms};
 use shard::{
@@ -54,6 +54,10 @@
     pub received: Vec<(u32, u64, usize)>,
     /// Version of the configuration.
     pub version: u64,
+    /// Configuration in place of [`config`], which has its own version.
+    pub config: Option<Configuration>,
+    /// Records of the topic with the partitions of services.
+    pub assignments: Vec<Vec<u8>>,
     pub workers: HashMap<String, Worker>,
     /// Started runs, as task and run number.
     pub starts: Vec<(String, u32)>,
@@ -67,6 +71,8 @@
 
 #[derive(Debug, Default)]
 pub struct Worker {
+    /// Service, unless it is that of the tests' queue.
+    pub service: Option<&'static str>,
     /// Highest fencing token seen.
     pub fencing_token: u64,
     /// Run number and start time by task.
@@ -245,14 +251,35 @@
         })
     }
 
+    fn read_assignments(&self) -> Call<'_, AssignmentTopic> {
+        Box::pin(async move {
+            let records = self.store()?.assignments.clone();
+            Ok(AssignmentTopic { end: records.len() as u64, records })
+        })
+    }
+
+    fn append_assignments<'a>(&'a self, _: &'a str, value: &'a [u8], end: u64) -> Call<'a, bool> {
+        Box::pin(async move {
+            let mut state = self.store()?;
+            let ends_there = state.assignments.len() as u64 == end;
+            if ends_there {
+                state.assignments.push(value.to_vec());
+            }
+            Ok(ends_there)
+        })
+    }
+
     fn read_documents(&self, from: Option<u64>) -> Call<'_, Changes<Document>> {
         Box::pin(async move {
-            let version = self.store()?.version;
+            let (version, document) = {
+                let state = self.store()?;
+                let document = state.config.clone().unwrap_or_else(|| config(state.version));
+                (document.version, Document::Configuration(document))
+            };
             if from == Some(version) {
                 tokio::time::sleep(Duration::from_millis(20)).await;
                 return Ok(Changes { next_offset: version, snapshot: false, entries: Vec::new() });
             }
-            let document = Document::Configuration(config(version));
             Ok(Changes {
                 next_offset: version,
                 snapshot: true,
@@ -269,7 +296,7 @@
         Box::pin(async move {
             let mut state = self.store()?;
             state.readers.insert(self.member.clone());
-            let items = state.workers.keys().map(|id| (id.clone(), Some(info(id)))).collect();
+            let items = state.workers.iter().map(|(id, w)| (id.clone(), Some(info(id, w)))).collect();
             Ok(Changes { next_offset: 1, snapshot: true, entries: items })
         })
     }
@@ -388,11 +415,11 @@
     }
 }
 
-fn info(id: &str) -> WorkerInfo {
+fn info(id: &str, worker: &Worker) -> WorkerInfo {
     WorkerInfo {
         id: id.into(),
         addr: "127.0.0.1:1".into(),
-        service: "quotes".into(),
+        service: worker.service.unwrap_or("quotes").into(),
         zone: "z1".into(),
         labels: Vec::new(),
         capacity: Resources { cpu: 4_000, mem: 4_000, gpu: 0 },
--- a/components/relay/tests/daemons/restart.rs
+++ b/components/relay/tests/daemons/restart.rs
@@ -9,8 +9,8 @@
 use tokio::net::TcpSocket;
 use tokio::runtime::Runtime;
 
-use crate::platform::{PARTITIONS, Platform, config};
-use crate::{start_daemon_at, submit_job, wait_for_completion};
+use crate::platform::Platform;
+use crate::{quotes_partition, start_daemon_at, submit_job, wait_for_completion};
 
 /// A daemon on threads of its own, which end when it is killed.
 struct Process {
@@ -60,7 +60,7 @@
         submit_job(&second.node, 2).await;
         wait_for_completion(&second.node, 2).await;
     });
-    let partition = config(1).partitions(PARTITIONS - 1)["quotes"];
+    let partition = quotes_partition();
     let state = platform.state.lock();
     let stored: Vec<&String> = state.partitions[&partition].keys().filter(|k| k.starts_with("j:")).collect();
     assert_that!(stored, contains(eq(&&format!("j:{:016x}", 2))));
--- a/components/relay/tests/daemons/slow_store.rs
+++ b/components/relay/tests/daemons/slow_store.rs
@@ -5,8 +5,10 @@
 
 use googletest::prelude::*;
 
-use crate::platform::{PARTITIONS, Platform, config};
-use crate::{CALL_TIMEOUT, Outcome, eventually, job, start_fleet, submit_job, wait_for_completion};
+use crate::platform::Platform;
+use crate::{
+    CALL_TIMEOUT, Outcome, eventually, job, quotes_partition, start_fleet, submit_job, wait_for_completion,
+};
 
 /// Time for an append: sixty times the usual 4 ms.
 const APPEND_TIME: Duration = Duration::from_millis(240);
@@ -29,7 +31,7 @@
 }
 
 fn partition() -> u32 {
-    config(1).partitions(PARTITIONS - 1)["quotes"]
+    quotes_partition()
 }
 
 /// Guards against a job that waits for a further append between its acceptance and its first start.
--- a/components/shard/src/admission.rs
+++ b/components/shard/src/admission.rs
@@ -206,6 +206,15 @@
         self.workers.insert(Worker::new(info, self.now))
     }
 
+    /// Drops a worker that another shard commands. An earlier version may have recorded runs there.
+    pub(crate) fn drop_foreign_worker(&mut self, id: &str) {
+        let Some(key) = self.worker_key(id).filter(|k| !self.workers[*k].removed) else { return };
+        self.drop_lost_runs(key, "commanded by another shard");
+        let worker = &mut self.workers[key];
+        worker.listed = false;
+        worker.removed = true;
+    }
+
     /// Removes workers that the platform no longer lists, once no run can be left on them.
     pub(crate) fn remove_unlisted_workers(&mut self) {
         for (key, worker) in self.workers.iter_mut() {
--- a/components/shard/src/io.rs
+++ b/components/shard/src/io.rs
@@ -96,6 +96,11 @@
     },
     /// The platform's current list of the shard's workers.
     Workers(Vec<WorkerInfo>),
+    /// A listed worker is commanded by another shard. Its runs here are dropped.
+    Foreign {
+        /// Worker's id.
+        worker: String,
+    },
     /// Availability zones that operators have taken out of service.
     ZonesOut(Vec<String>),
     /// Quota of each customer on this shard.
--- a/components/shard/src/lib.rs
+++ b/components/shard/src/lib.rs
@@ -42,7 +42,7 @@
 pub use drain::CORDON_MS;
 pub use io::{Action, Input, Refusal, StartReply, StartRequest, Timing};
 pub use model::{JobSpec, Repeat, Resources, StepSpec, TaskId, Verdict};
-pub use record::{Record, RunRecord, WorkerRecord};
+pub use record::{Record, RunRecord, WorkerRecord, stored_job};
 pub use report::{RunEnd, RunOutcome, RunStatus, WorkerReport};
 pub use second_run::CopyOutcome;
 pub use standstill::{Obstacle, Standstill, WorkerCounts};
--- a/components/shard/src/record.rs
+++ b/components/shard/src/record.rs
@@ -120,6 +120,15 @@
         .flatten()
 }
 
+/// The job in a record of a shard's partition; `None` for records of other kinds.
+#[must_use]
+pub fn stored_job(key: &str, value: &[u8]) -> Option<JobSpec> {
+    match parse(key, value) {
+        Some(StoredRecord::Job(spec)) => Some(spec),
+        _ => None,
+    }
+}
+
 pub(crate) fn job(spec: &JobSpec) -> Record {
     Record { key: format!("{JOB_PREFIX}{}", spec.id), value: Some(spec.encode_to_vec()) }
 }
--- a/components/shard/src/state.rs
+++ b/components/shard/src/state.rs
@@ -157,6 +157,7 @@
             Input::Submit { request_id, spec } => self.submit(request_id, spec),
             Input::Cancel { request_id, id } => self.cancel(request_id, &id),
             Input::Workers(list) => self.update_workers(list),
+            Input::Foreign { worker } => self.drop_foreign_worker(&worker),
             Input::ZonesOut(zones) => self.zones_out = zones.into_iter().collect(),
             Input::Quotas(quotas) => self.quotas = quotas,
             Input::Limits(limits) => self.limits = limits,
--- a/components/shard/src/view.rs
+++ b/components/shard/src/view.rs
@@ -73,6 +73,12 @@
         })
     }
 
+    /// Whether a worker is in the shard's table.
+    #[must_use]
+    pub fn has_worker(&self, id: &str) -> bool {
+        self.worker_key(id).is_some()
+    }
+
     /// Number of workers in the shard's table.
     #[must_use]
     pub fn worker_count(&self) -> usize {
