A new owner activates all due occurrences that have not begun

Cause: an owner went on after the highest occurrence that is active or completed. The log holds nothing of occurrences that have not begun, and a later one may begin before an earlier one that is late.

Change: an owner activates each due occurrence that is neither active nor completed, the lowest first. Completed occurrences are kept as ranges in memory; the stored form is unchanged.

--- a/components/shard/src/admission.rs
+++ b/components/shard/src/admission.rs
@@ -121,7 +121,7 @@
     pub(crate) fn activate_occurrence(&mut self, key: JobKey, number: u32) {
         let now = self.now;
         let Some(job) = self.jobs.get(&key) else { return };
-        if job.occurrence(number).is_some() || job.completed.contains(&number) {
+        if job.occurrence(number).is_some() || job.completed.contains(number) {
             return;
         }
         let work = self.expected_work(&job.spec);
@@ -143,24 +143,26 @@
         self.ready_steps.extend(ready.into_iter().map(|step| StepRef { job: key, occurrence: number, step }));
     }
 
-    /// Activates the occurrences that are due.
+    /// Activates the occurrences that are due, the lowest ones first. Those before one that runs or is completed may be
+    /// inactive at a new owner: the log holds nothing of an occurrence that has not begun.
     pub(crate) fn activate_due_occurrences(&mut self) {
         let wall_ms = self.wall_ms;
         let mut due: Vec<(JobKey, u32)> = Vec::new();
         for &key in &self.repeated_jobs {
-            let Some(job) = self.jobs.get(&key) else { continue };
+            let Some(job) = self.jobs.get_mut(&key) else { continue };
             let Some(repeat) = job.spec.repeat else { continue };
             if !job.stored || job.verdict != Verdict::Open {
                 continue;
             }
-            let next =
-                job.occurrences.iter().map(|o| o.number + 1).chain(job.completed.iter().map(|n| n + 1));
-            let mut number = next.max().unwrap_or(0);
-            let mut free = job.max_active_occurrences().saturating_sub(job.occurrences.len());
-            while free > 0 && number < repeat.count && repeat.due_at(number) <= wall_ms {
+            let free = job.max_active_occurrences().saturating_sub(job.occurrences.len());
+            for _ in 0..free {
+                let number = job.next_inactive(job.next_occurrence);
+                job.next_occurrence = number;
+                if number >= repeat.count || repeat.due_at(number) > wall_ms {
+                    break;
+                }
                 due.push((key, number));
-                number += 1;
-                free -= 1;
+                job.next_occurrence = number + 1;
             }
         }
         for (key, number) in due {
--- a/components/shard/src/completion.rs
+++ b/components/shard/src/completion.rs
@@ -102,8 +102,8 @@
         };
         if occurrence.complete() {
             job.occurrences.retain(|o| o.number != step_ref.occurrence);
-            job.completed.push(step_ref.occurrence);
-            if job.completed.len() == job.occurrence_count() as usize {
+            job.completed.insert(step_ref.occurrence);
+            if job.completed.count() == u64::from(job.occurrence_count()) {
                 self.end_job(step_ref.job, Verdict::Completed);
             }
             return;
--- a/components/shard/src/job.rs
+++ b/components/shard/src/job.rs
@@ -3,6 +3,7 @@
 use crate::Ms;
 use crate::copy_odds::Kind;
 use crate::model::{JobSpec, Verdict};
+use crate::ranges::Ranges;
 use crate::record::{OccurrenceProgress, Progress, StepProgress, TaskFailures};
 use crate::worker::WorkerKey;
 
@@ -94,7 +95,10 @@
     /// Occurrences in progress.
     pub occurrences: Vec<Occurrence>,
     /// Numbers of the completed occurrences.
-    pub completed: Vec<u32>,
+    pub completed: Ranges,
+    /// Number from which on occurrences may be neither active nor completed. An owner looks from the first one on, as
+    /// the log does not tell which occurrences were active.
+    pub next_occurrence: u32,
     pub verdict: Verdict,
     /// Verdict that the log has stored. Callers see only this one.
     pub stored_verdict: Verdict,
@@ -123,7 +127,8 @@
         Self {
             spec,
             occurrences: Vec::new(),
-            completed: Vec::new(),
+            completed: Ranges::default(),
+            next_occurrence: 0,
             verdict: Verdict::Open,
             stored_verdict: Verdict::Open,
             stored: false,
@@ -146,6 +151,15 @@
         self.occurrences.iter_mut().find(|o| o.number == number)
     }
 
+    /// Lowest occurrence from `from` on that is neither active nor completed.
+    pub fn next_inactive(&self, from: u32) -> u32 {
+        let mut number = self.completed.next_gap(from);
+        while self.occurrence(number).is_some() {
+            number = self.completed.next_gap(number + 1);
+        }
+        number
+    }
+
     /// Number of occurrences.
     pub fn occurrence_count(&self) -> u32 {
         self.spec.repeat.map_or(1, |r| r.count)
@@ -162,8 +176,8 @@
     pub fn progress(&self) -> Progress {
         let mut occurrences: Vec<OccurrenceProgress> = self
             .completed
-            .iter()
-            .map(|&occurrence| OccurrenceProgress { occurrence, complete: true, steps: Vec::new() })
+            .numbers()
+            .map(|occurrence| OccurrenceProgress { occurrence, complete: true, steps: Vec::new() })
             .collect();
         if self.verdict == Verdict::Open {
             occurrences.extend(self.occurrences.iter().map(Occurrence::progress));
--- a/components/shard/src/lib.rs
+++ b/components/shard/src/lib.rs
@@ -27,6 +27,7 @@
 mod model;
 mod overload;
 mod placement;
+mod ranges;
 mod rank;
 mod record;
 mod recovery;
--- a/components/shard/tests/fleet/main.rs
+++ b/components/shard/tests/fleet/main.rs
@@ -8,6 +8,7 @@
 mod failures;
 mod jobs;
 mod kept;
+mod occurrences;
 mod overload;
 mod random_faults;
 mod review;
