An occurrence is ranked by the time at which it was due

What callers saw: after a change of owner, occurrences of a scheduled job that had been due for seconds went behind jobs that came later.

Cause: an occurrence counted as due from its activation, which a new owner does again.

Change: the time follows from the schedule, but is not before the job was accepted.

--- a/components/shard/src/admission.rs
+++ b/components/shard/src/admission.rs
@@ -124,6 +124,7 @@
         if job.occurrence(number).is_some() || job.completed.contains(number) {
             return;
         }
+        let due_at = self.due_at(job, number);
         let work = self.expected_work(&job.spec);
         let other_size = self.overload.replace_size(&job.spec.queue, work);
         let Some(job) = self.jobs.get_mut(&key) else { return };
@@ -136,13 +137,20 @@
                 job.spec.priority,
             );
         }
-        let occurrence = Occurrence::new(&job.spec, number, now);
+        let occurrence = Occurrence::new(&job.spec, number, due_at);
         let steps = u32::try_from(occurrence.steps.len()).unwrap_or(0);
         let ready: Vec<u32> = (0..steps).filter(|&s| occurrence.dependencies_met(&job.spec, s)).collect();
         job.occurrences.push(occurrence);
         self.ready_steps.extend(ready.into_iter().map(|step| StepRef { job: key, occurrence: number, step }));
     }
 
+    /// When an occurrence became due, on the monotonic clock, but not before its job was accepted.
+    fn due_at(&self, job: &Job, number: u32) -> Ms {
+        let Some(repeat) = job.spec.repeat else { return job.queued_since };
+        let overdue = self.wall_ms.saturating_sub(repeat.due_at(number));
+        self.now.saturating_sub(overdue).max(job.queued_since)
+    }
+
     /// Activates the occurrences that are due, the lowest ones first. Those before one that runs or is completed may be
     /// inactive at a new owner: the log holds nothing of an occurrence that has not begun.
     pub(crate) fn activate_due_occurrences(&mut self) {
--- a/components/shard/tests/fleet/occurrences.rs
+++ b/components/shard/tests/fleet/occurrences.rs
@@ -67,3 +67,21 @@
     expect_that!(occurrences, eq(&(0..20).collect::<Vec<u32>>()));
     expect_that!(fleet.job_state("a"), some(eq(JobState::Completed)));
 }
+
+// Guards against occurrences that a new owner ranks as if they had just become due.
+#[gtest]
+fn a_new_owner_ranks_an_occurrence_by_the_time_at_which_it_was_due() {
+    let mut fleet = Fleet::new(1, 1_000);
+    fleet.work_ms = BUSY_MS;
+    fleet.submit(job("busy", vec![step(1, 1_000)]));
+    fleet.advance(300);
+    let repeat = Some(Repeat { first: WALL_CLOCK_START_MS + fleet.now + 100, interval: 1_000, count: 1 });
+    fleet.submit(JobSpec { repeat, target: 30_000, ..job("a", vec![step(1, 1_000)]) });
+    fleet.advance(2_000);
+    fleet.submit(JobSpec { target: 30_000, ..job("b", vec![step(1, 1_000)]) });
+    fleet.advance(500);
+    fleet.change_owner();
+    fleet.advance(BUSY_MS);
+    let order: Vec<&str> = fleet.start_requests.iter().map(|r| r.task_id.job.as_str()).collect();
+    expect_that!(order[..2], elements_are![eq(&"busy"), eq(&"a")]);
+}
