A job with stored progress is running at a new owner

What callers saw: after a change of owner, a job of which tasks were done was shown as queued, and counted as waiting, until its next task started.

Cause: an owner took a job as started only by its own starts and by recorded runs, not by its stored progress.

Change: a job is started if a run of one of its tasks has ended.

Result: a_job_with_tasks_that_are_done_is_running_at_a_new_owner passes; on it failed (Queued, 1 waiting).

--- a/components/shard/src/record.rs
+++ b/components/shard/src/record.rs
@@ -86,6 +86,14 @@
     pub steps: Vec<StepProgress>,
 }
 
+impl OccurrenceProgress {
+    /// Whether a run of one of its tasks has ended.
+    pub(crate) fn has_begun(&self) -> bool {
+        let ended = |s: &StepProgress| !s.failures.is_empty() || s.done.iter().any(|bits| *bits != 0);
+        self.complete || self.steps.iter().any(ended)
+    }
+}
+
 /// Progress of a job.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Progress {
--- a/components/shard/src/recovery.rs
+++ b/components/shard/src/recovery.rs
@@ -4,7 +4,7 @@
 
 use crate::job::{Job, StepRef, TaskRef, TaskState};
 use crate::model::{TaskId, Verdict};
-use crate::record::{self, Progress, StoredRecord};
+use crate::record::{self, OccurrenceProgress, Progress, StoredRecord};
 use crate::state::Shard;
 use crate::worker::{RunPhase, Worker, WorkerInfo, WorkerKey};
 
@@ -122,6 +122,7 @@
             job.ended_at = progress.ended_at;
             job.completed =
                 progress.occurrences.iter().filter(|o| o.complete).map(|o| o.occurrence).collect();
+            job.started = progress.occurrences.iter().any(OccurrenceProgress::has_begun);
         }
         if verdict != Verdict::Open {
             return;
--- a/components/shard/tests/fleet/jobs.rs
+++ b/components/shard/tests/fleet/jobs.rs
@@ -306,3 +306,17 @@
     fleet.advance(200);
     expect_that!(load(&fleet), eq((1, 1_200, 4_200)));
 }
+
+// Guards against a job that a new owner shows as queued and counts as waiting although tasks of it are done.
+#[gtest]
+fn a_job_with_tasks_that_are_done_is_running_at_a_new_owner() {
+    let mut fleet = Fleet::new(1, 4_000);
+    let too_wide = StepSpec { depends_on: vec![0], ..step(1, 64_000) };
+    fleet.submit(job("a", vec![step(2, 1_000), too_wide]));
+    fleet.advance(2_000);
+    expect_that!(fleet.job_state("a"), some(eq(JobState::Running)));
+    fleet.change_owner();
+    fleet.advance(500);
+    expect_that!(fleet.job_state("a"), some(eq(JobState::Running)));
+    expect_that!(fleet.shard.queued_jobs("q"), eq(0));
+}
