The broker asks for a new read of the partitions when its own is too old

What was seen: in 10 of 24 runs of relay's tests of daemons, four at a time, one accepted job of a customer with a limit did not end within a minute.

Cause: the broker of limits answers only by partitions that were read after its coordinator's start. That read is asked for when the coordinator's partition is assigned, which may be seen before the coordinator starts; the next one was due after 10 s without any change, and the membership is renewed each 0.4 s.

Change: the broker asks for a read when it has none that is new enough, and owners read again 10 s after the last time.

--- a/components/relay/src/node.rs
+++ b/components/relay/src/node.rs
@@ -117,6 +117,8 @@
     broker: Mutex<(u64, Broker)>,
     /// Partitions of services.
     partitions: PartitionLog,
+    /// Notified when the partitions read last are too old.
+    partitions_stale: Notify,
 }
 
 /// The coordinator that this daemon runs.
@@ -164,6 +166,7 @@
             coordinator: Mutex::default(),
             broker: Mutex::default(),
             partitions,
+            partitions_stale: Notify::new(),
         });
         tokio::spawn(Arc::clone(&node).reconcile_shards());
         tokio::spawn(Arc::clone(&node).keep_partitions());
--- a/components/relay/src/node/assignment.rs
+++ b/components/relay/src/node/assignment.rs
@@ -14,9 +14,9 @@
 const MISSING_INTERVAL: Duration = Duration::from_millis(250);
 /// Pause after a call that the store has not answered.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
-/// Pause between reads by a daemon that owns shards. It may have missed a short-lived version of the configuration
-/// whose services have jobs in a partition that it owns.
-const READ_INTERVAL: Duration = Duration::from_secs(10);
+/// Milliseconds between reads by a daemon that owns shards. It may have missed a short-lived version of the configuration
+/// whose services have jobs in a partition that it owns. It looks whenever its membership is renewed.
+const READ_INTERVAL_MS: u64 = 10_000;
 
 /// What this daemon's view of the partitions needs.
 #[derive(Debug)]
@@ -27,6 +27,8 @@
     missing_since: Option<u64>,
     /// Partitions that the group has assigned to this daemon.
     owned: BTreeSet<u32>,
+    /// Monotonic time at which an owner reads again.
+    read_due: u64,
 }
 
 /// What to do next.
@@ -45,7 +47,7 @@
     /// services that have none.
     pub(super) async fn keep_partitions(self: Arc<Self>) {
         let (mut membership, mut desired) = (self.membership.clone(), self.desired.clone());
-        let mut view = View { since: 0, missing_since: None, owned: BTreeSet::new() };
+        let mut view = View { since: 0, missing_since: None, owned: BTreeSet::new(), read_due: 0 };
         loop {
             membership.borrow_and_update();
             desired.borrow_and_update();
@@ -62,11 +64,7 @@
                     tokio::select! {
                         changed = membership.changed() => if changed.is_err() { return },
                         changed = desired.changed() => if changed.is_err() { return },
-                        () = tokio::time::sleep(READ_INTERVAL) => {
-                            if !view.owned.is_empty() {
-                                view.since = monotonic_ms();
-                            }
-                        }
+                        () = self.partitions_stale.notified() => view.since = monotonic_ms(),
                     }
                 }
             }
@@ -77,8 +75,11 @@
     fn update_view(&self, view: &mut View) {
         let owned: BTreeSet<u32> = self.membership.borrow().assignment.partitions.iter().copied().collect();
         let lacks = self.config().is_some_and(|c| self.partitions().newest().lacks(&c));
-        if lacks || !owned.is_subset(&view.owned) {
-            view.since = monotonic_ms();
+        let now = monotonic_ms();
+        let overdue = !owned.is_empty() && now >= view.read_due;
+        if lacks || overdue || !owned.is_subset(&view.owned) {
+            view.since = now;
+            view.read_due = now + READ_INTERVAL_MS;
         }
         view.owned = owned;
     }
--- a/components/relay/src/node/coordination.rs
+++ b/components/relay/src/node/coordination.rs
@@ -57,6 +57,7 @@
         };
         // Shards that an older read lacks may hold quota.
         let Some(partitions) = self.partitions.newest_since(started_at) else {
+            self.partitions_stale.notify_one();
             return Reply::of(ReplyKind::NotOwner);
         };
         if !self.holds_partition(partition, epoch) {
