Jobs of a queue are registered at one shard, wherever the queue is sent

What callers saw: a version of the configuration sent a queue to another pool.

Cause: each request went to the shard of the service that the queue has now, and jobs stay in the shard for which they were accepted. Nothing decided in one place whether a job is new.

Change: a queue has a home partition for good, in the log beside the partitions of services. Its owner accepts a job, or refers it to the present service in a record before the daemon submits it there. Waiting jobs are counted in all shards that have some. A queue that has not moved is served with no further call.

--- a/components/capacity/tests/turns/player.rs
+++ b/components/capacity/tests/turns/player.rs
@@ -240,7 +240,7 @@
             let objective = work * u64::from(steps) * 16 / 10 + 600;
             self.jobs.insert(id, (n, self.now, objective));
             let now = self.now;
-            let input = Input::Submit { request_id: self.result.jobs as u64, spec };
+            let input = Input::Submit { request_id: self.result.jobs as u64, spec, searched: false };
             self.services[n].shard.apply(now, WALL_START_MS + now, input);
         }
     }
--- a/components/relay/src/configuration.rs
+++ b/components/relay/src/configuration.rs
@@ -43,6 +43,14 @@
     pub public: bool,
 }
 
+impl Queue {
+    /// Address that callers use for its jobs: host name and path prefix.
+    #[must_use]
+    pub fn address(&self) -> String {
+        format!("{}{}", self.host.to_ascii_lowercase(), self.path_prefix)
+    }
+}
+
 /// A pool of machines, whose workers run one service.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Pool {
--- a/components/relay/src/message.rs
+++ b/components/relay/src/message.rs
@@ -18,7 +18,7 @@
     #[prost(string, tag = "12")]
     pub sender: String,
     /// Operation with its arguments.
-    #[prost(oneof = "RequestBody", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(oneof = "RequestBody", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 13, 14")]
     pub body: Option<RequestBody>,
 }
 
@@ -52,6 +52,29 @@
     /// Uncordon a worker, so that it gets runs again.
     #[prost(string, tag = "10")]
     UncordonWorker(String),
+    /// Accept a job, which no shard has to which jobs of its queue were referred.
+    #[prost(message, tag = "13")]
+    SubmitSearched(JobSpec),
+    /// Refer a job to another service.
+    #[prost(message, tag = "14")]
+    Refer(ReferRequest),
+}
+
+/// Arguments of a request to refer a job to another service.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct ReferRequest {
+    /// Job id.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// Queue of the job.
+    #[prost(string, tag = "2")]
+    pub queue: String,
+    /// Service that is to accept it.
+    #[prost(string, tag = "3")]
+    pub service: String,
+    /// No other shard has the job to which jobs of its queue were referred.
+    #[prost(bool, tag = "4")]
+    pub searched: bool,
 }
 
 /// Arguments of a request for the load of a service's workers.
@@ -237,7 +260,7 @@
     Uncertain = 5,
     /// State of a job: see `value`.
     State = 6,
-    /// Count: see `value`.
+    /// Count: see `value`; `services` are those to which further jobs of the queue were referred.
     Count = 7,
     /// Quotas: see `rows`.
     Quota = 8,
@@ -245,6 +268,10 @@
     Load = 9,
     /// Operators' documents: see `json`.
     Documents = 10,
+    /// The shard of another service accepts the job: see `services`.
+    Referred = 11,
+    /// The job may be in the shards of these services: see `services`.
+    Search = 12,
 }
 
 /// The reply to a request.
@@ -268,13 +295,24 @@
     /// Operators' documents as JSON.
     #[prost(string, tag = "6")]
     pub json: String,
+    /// Names of services.
+    #[prost(string, repeated, tag = "7")]
+    pub services: Vec<String>,
 }
 
 impl Reply {
     /// A reply without a value.
     #[must_use]
     pub const fn of(kind: ReplyKind) -> Self {
-        Self { id: 0, kind: kind as i32, value: 0, rows: Vec::new(), load: None, json: String::new() }
+        Self {
+            id: 0,
+            kind: kind as i32,
+            value: 0,
+            rows: Vec::new(),
+            load: None,
+            json: String::new(),
+            services: Vec::new(),
+        }
     }
 
     /// A reply with a count.
@@ -283,6 +321,12 @@
         Self { value: count as u64, ..Self::of(ReplyKind::Count) }
     }
 
+    /// A reply with names of services.
+    #[must_use]
+    pub fn services(kind: ReplyKind, services: Vec<String>) -> Self {
+        Self { services, ..Self::of(kind) }
+    }
+
     /// A refusal, after which the caller may return in `retry_ms`.
     #[must_use]
     pub fn refused(retry_ms: u64) -> Self {
--- a/components/relay/src/node/jobs.rs
+++ b/components/relay/src/node/jobs.rs
@@ -2,6 +2,10 @@
 //!
 //! A queue's service may change, while its jobs stay in the partitions that hold their records. So a job that the shard
 //! of the queue's service does not have is looked for in all other shards before it counts as unknown.
+//!
+//! A new job is registered at the home of its queue, which accepts it or refers it to the shard of the queue's present
+//! service. Requests for a job that come again, also by daemons with another version of the configuration, so get to the
+//! same shard. The home of a queue that has never moved is the shard of its service.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -13,8 +17,9 @@
 
 use super::{Node, Outcome};
 use crate::clock::monotonic_ms;
+use crate::configuration::Queue;
 use crate::mesh::MeshError;
-use crate::message::{Reply, ReplyKind, RequestBody};
+use crate::message::{ReferRequest, Reply, ReplyKind, RequestBody};
 use crate::partition_map::PartitionMap;
 
 /// Pause between two attempts to reach a shard's owner.
@@ -27,24 +32,122 @@
 /// Age in milliseconds up to which the partitions read last tell where a job may be. A job is known everywhere within
 /// three times as long.
 const PARTITIONS_AGE_MS: u64 = 1_000;
+/// Age in milliseconds of the oldest count of waiting jobs that may be given.
+const COUNT_AGE_MS: u64 = 2_000;
+
+/// What the home of a job's queue says of a new job.
+enum Registration {
+    /// The outcome of the submission.
+    Ended(Outcome),
+    /// This service's shard accepts the job.
+    Referred(String),
+    /// The job may be in the shards of these services.
+    Search(Vec<String>),
+}
 
 impl Node {
-    /// Submits a job.
-    pub async fn submit(&self, spec: JobSpec, timeout: Duration) -> Outcome {
+    /// Submits a job to the queue at an address.
+    pub async fn submit(&self, address: &str, spec: JobSpec, timeout: Duration) -> Outcome {
         let deadline = self.call_deadline(timeout);
+        // Nothing is submitted before the home of the queue says where.
+        const NOT_SUBMITTED: Outcome = Outcome::Refused { retry_ms: 0 };
         let Some(partition) = self.wait_for_partition(&spec.service, deadline).await else {
-            return Outcome::Refused { retry_ms: 0 };
+            return NOT_SUBMITTED;
         };
-        let mut strays = self.partitions().newest().strays(&spec.queue);
-        strays.remove(&partition);
+        let Some(home) = self.home(address, &spec.service, deadline).await else { return NOT_SUBMITTED };
+        let strays = self.partitions().newest().strays(&spec.queue).into_iter();
+        let strays = strays.filter(|p| ![home, partition].contains(p)).collect();
         match self.find(&strays, &RequestBody::JobState(spec.id.clone()), deadline).await {
-            Outcome::NotFound => self.call_owner(partition, RequestBody::Submit(spec), deadline).await,
-            Outcome::State(_) => Outcome::Done,
-            // Nothing was submitted.
-            _ => Outcome::Refused { retry_ms: 0 },
+            Outcome::NotFound => {}
+            Outcome::State(_) => return Outcome::Done,
+            _ => return NOT_SUBMITTED,
+        }
+        let mut searched = false;
+        loop {
+            match self.register(home, partition, &spec, searched, deadline).await {
+                Registration::Ended(outcome) => return outcome,
+                Registration::Referred(service) => {
+                    return self.submit_referred(spec, service, deadline).await;
+                }
+                Registration::Search(_) if searched => return NOT_SUBMITTED,
+                Registration::Search(services) => {
+                    let Some(partitions) = self.partitions_of(&services, deadline).await else {
+                        return NOT_SUBMITTED;
+                    };
+                    match self.find(&partitions, &RequestBody::JobState(spec.id.clone()), deadline).await {
+                        Outcome::NotFound => searched = true,
+                        Outcome::State(_) => return Outcome::Done,
+                        _ => return NOT_SUBMITTED,
+                    }
+                }
+            }
+        }
+    }
+
+    /// Registers a job at the home of its queue, which accepts it if it is also the partition of its service.
+    async fn register(
+        &self,
+        home: u32,
+        partition: u32,
+        spec: &JobSpec,
+        searched: bool,
+        deadline: Instant,
+    ) -> Registration {
+        let body = if home != partition {
+            RequestBody::Refer(ReferRequest {
+                id: spec.id.clone(),
+                queue: spec.queue.clone(),
+                service: spec.service.clone(),
+                searched,
+            })
+        } else if searched {
+            RequestBody::SubmitSearched(spec.clone())
+        } else {
+            RequestBody::Submit(spec.clone())
+        };
+        match self.ask_shard(home, body, deadline).await {
+            Ok(mut reply) => match reply.kind() {
+                ReplyKind::Referred => Registration::Referred(reply.services.pop().unwrap_or_default()),
+                ReplyKind::Search => Registration::Search(reply.services),
+                _ => Registration::Ended(caller_outcome(&reply).unwrap_or(Outcome::Uncertain)),
+            },
+            Err(outcome) => Registration::Ended(outcome),
         }
     }
 
+    /// Submits a job to the service to which its queue's home has referred it.
+    async fn submit_referred(&self, spec: JobSpec, service: String, deadline: Instant) -> Outcome {
+        let partitions = self.partitions_of(std::slice::from_ref(&service), deadline).await;
+        let Some(partition) = partitions.and_then(|p| p.first().copied()) else {
+            return Outcome::Refused { retry_ms: 0 };
+        };
+        let spec = JobSpec { service, ..spec };
+        self.call_owner(partition, RequestBody::SubmitSearched(spec), deadline).await
+    }
+
+    /// Partition where the jobs of the queue at an address are registered.
+    async fn home(&self, address: &str, service: &str, deadline: Instant) -> Option<u32> {
+        let daemon = self.options.mesh_addr.to_string();
+        match timeout_at(deadline, self.partitions().find_home(&daemon, (address, service))).await {
+            Ok(Ok(home)) => home,
+            Ok(Err(error)) => {
+                tracing::info!(%error, address, "node: cannot register a queue");
+                None
+            }
+            Err(_) => None,
+        }
+    }
+
+    /// Partitions of services, all of which have one; `None` if one is not known in time.
+    async fn partitions_of(&self, services: &[String], deadline: Instant) -> Option<BTreeSet<u32>> {
+        let all =
+            |map: &PartitionMap| services.iter().map(|s| map.service(s)).collect::<Option<BTreeSet<u32>>>();
+        if let Some(partitions) = all(&self.partitions().newest()) {
+            return Some(partitions);
+        }
+        all(&*self.partitions_since(monotonic_ms(), deadline).await?)
+    }
+
     /// Cancels a job.
     pub async fn cancel(&self, service: &str, id: &str, timeout: Duration) -> Outcome {
         self.call_holder(service, &RequestBody::Cancel(id.to_owned()), timeout).await
@@ -55,17 +158,55 @@
         self.call_holder(service, &RequestBody::JobState(id.to_owned()), timeout).await
     }
 
-    /// Counts a queue's waiting jobs.
-    pub async fn count_waiting(&self, service: &str, queue: &str, timeout: Duration) -> Outcome {
+    /// Counts a queue's waiting jobs, in all shards that have accepted some.
+    pub async fn count_waiting(&self, queue: &Queue, timeout: Duration) -> Outcome {
         let deadline = self.call_deadline(timeout);
-        let Some(partition) = self.wait_for_partition(service, deadline).await else {
+        let Some(partition) = self.wait_for_partition(&queue.service, deadline).await else {
             return Outcome::Refused { retry_ms: 0 };
         };
-        let mut partitions = self.partitions().newest().strays(queue);
+        let address = queue.address();
+        let mut map = self.partitions().newest();
+        if map.home(&address).is_none() {
+            // Another daemon may have registered it when the queue was sent to another service.
+            let since = monotonic_ms().saturating_sub(COUNT_AGE_MS);
+            let Some(newer) = self.partitions_since(since, deadline).await else {
+                return Outcome::Refused { retry_ms: 0 };
+            };
+            map = newer;
+        }
+        let mut partitions = map.strays(&queue.name);
         partitions.insert(partition);
+        partitions.extend(map.home(&address));
+        let (count, services) = match self.count_in(&partitions, &queue.name, deadline).await {
+            Ok(counted) => counted,
+            Err(outcome) => return outcome,
+        };
+        let Some(mut others) = self.partitions_of(&services, deadline).await else {
+            return Outcome::Refused { retry_ms: 0 };
+        };
+        others.retain(|p| !partitions.contains(p));
+        match self.count_in(&others, &queue.name, deadline).await {
+            Ok((further, _)) => Outcome::Count(count + further),
+            Err(outcome) => outcome,
+        }
+    }
+
+    /// Counts a queue's waiting jobs in some shards, and names the services to which these have referred further ones.
+    async fn count_in(
+        &self,
+        partitions: &BTreeSet<u32>,
+        queue: &str,
+        deadline: Instant,
+    ) -> Result<(u64, Vec<String>), Outcome> {
         let body = RequestBody::CountWaiting(queue.to_owned());
-        let calls = partitions.into_iter().map(|p| self.call_owner(p, body.clone(), deadline));
-        join_all(calls).await.into_iter().fold(Outcome::Count(0), add_counts)
+        let calls = partitions.iter().map(|p| self.ask_shard(*p, body.clone(), deadline));
+        let mut total = (0, Vec::new());
+        for reply in join_all(calls).await {
+            let reply = reply?;
+            total.0 += reply.value;
+            total.1.extend(reply.services);
+        }
+        Ok(total)
     }
 
     /// Sends a request about a job to the shard that holds it, first to that of its queue's service.
@@ -120,42 +261,47 @@
         self.drain_deadline.lock().map_or(deadline, |drain| deadline.min(drain))
     }
 
-    /// Sends a request to a partition's owner, and retries until it succeeds or the time is over.
+    /// Sends a request to a partition's owner, and returns its outcome for the caller.
     async fn call_owner(&self, partition: u32, body: RequestBody, deadline: Instant) -> Outcome {
+        match self.ask_shard(partition, body, deadline).await {
+            Ok(reply) => caller_outcome(&reply).unwrap_or(Outcome::Uncertain),
+            Err(outcome) => outcome,
+        }
+    }
+
+    /// Sends a request to a partition's owner, and retries until it is answered or the time is over, which has an outcome
+    /// of its own.
+    async fn ask_shard(
+        &self,
+        partition: u32,
+        body: RequestBody,
+        deadline: Instant,
+    ) -> Result<Reply, Outcome> {
         let mut uncertain = false;
         let give_up_at = deadline.min(Instant::now() + UNREACHABLE_WAIT);
         loop {
             let remaining = deadline.saturating_duration_since(Instant::now());
             if remaining.is_zero() {
-                return if uncertain { Outcome::Uncertain } else { Outcome::Refused { retry_ms: 0 } };
+                return Err(if uncertain { Outcome::Uncertain } else { Outcome::Refused { retry_ms: 0 } });
             }
             match self.try_owner(partition, body.clone(), (ATTEMPT_TIMEOUT, remaining)).await {
-                Ok(reply) => {
-                    if let Some(outcome) = caller_outcome(&reply) {
-                        return if uncertain { after_lost_try(outcome) } else { outcome };
-                    }
-                    uncertain |= reply.kind() == ReplyKind::Uncertain;
+                // An earlier try without an answer may still reach the owner and be carried out.
+                Ok(reply) if uncertain && reply.kind() == ReplyKind::Refused => {
+                    return Err(Outcome::Uncertain);
                 }
+                Ok(reply) if is_answer(&reply) => return Ok(reply),
+                Ok(reply) => uncertain |= reply.kind() == ReplyKind::Uncertain,
                 Err(error) => uncertain |= error == MeshError::NoReply,
             }
             self.owners_stale.notify_one();
             if !uncertain && Instant::now() >= give_up_at {
-                return Outcome::Refused { retry_ms: 0 };
+                return Err(Outcome::Refused { retry_ms: 0 });
             }
             tokio::time::sleep(RETRY_PAUSE.min(remaining)).await;
         }
     }
 }
 
-/// Outcome for the caller after an earlier try without an answer. That try may still reach the owner and be
-/// carried out, so a refusal of the last try is not the last word.
-const fn after_lost_try(outcome: Outcome) -> Outcome {
-    match outcome {
-        Outcome::Refused { .. } => Outcome::Uncertain,
-        outcome => outcome,
-    }
-}
-
 /// Of two outcomes of a request that at most one shard can carry out, the one that tells more. A job is unknown only
 /// if no shard has it.
 const fn first_found(a: Outcome, b: Outcome) -> Outcome {
@@ -169,15 +315,12 @@
     }
 }
 
-/// Sum of two counts, or the outcome of the one that failed.
-const fn add_counts(a: Outcome, b: Outcome) -> Outcome {
-    match (a, b) {
-        (Outcome::Count(a), Outcome::Count(b)) => Outcome::Count(a + b),
-        (Outcome::Count(_), failed) | (failed, _) => failed,
-    }
+/// Whether a reply answers the request of a caller; otherwise the request is to be retried.
+fn is_answer(reply: &Reply) -> bool {
+    matches!(reply.kind(), ReplyKind::Referred | ReplyKind::Search) || caller_outcome(reply).is_some()
 }
 
-/// Outcome for the caller; `None` if the request is to be retried.
+/// Outcome for the caller; `None` if the reply has none.
 fn caller_outcome(reply: &Reply) -> Option<Outcome> {
     match reply.kind() {
         ReplyKind::Done => Some(Outcome::Done),
@@ -190,6 +333,8 @@
         | ReplyKind::Load
         | ReplyKind::Documents
         | ReplyKind::NotOwner
+        | ReplyKind::Referred
+        | ReplyKind::Search
         | ReplyKind::Uncertain => None,
     }
 }
--- a/components/relay/src/owner.rs
+++ b/components/relay/src/owner.rs
@@ -12,7 +12,7 @@
 use crate::clock::{monotonic_ms, wall_ms};
 use crate::desired_state::DesiredState;
 use crate::membership::Membership;
-use crate::message::{LoadRequest, Reply, ReplyKind, RequestBody};
+use crate::message::{LoadRequest, ReferRequest, Reply, ReplyKind, RequestBody};
 use crate::node::{EPOCHS_PER_GENERATION, Node};
 use crate::partition::{self, Outcome};
 use crate::platform::{Poll, PollReply, Store, Workers};
@@ -268,7 +268,12 @@
             return;
         }
         let answer = match body {
-            RequestBody::Submit(spec) => return self.submit(spec, reply),
+            RequestBody::Submit(spec) => return self.submit(spec, false, reply),
+            RequestBody::SubmitSearched(spec) => return self.submit(spec, true, reply),
+            RequestBody::Refer(ReferRequest { id, queue, service, searched }) => {
+                let request_id = self.add_request(reply);
+                return self.apply(Input::Refer { request_id, id, queue, service, searched });
+            }
             RequestBody::Cancel(id) => {
                 let request_id = self.add_request(reply);
                 return self.apply(Input::Cancel { request_id, id });
@@ -291,15 +296,18 @@
                 self.apply(Input::Cordon { worker, cordoned: false });
                 Reply::of(ReplyKind::Done)
             }
-            RequestBody::CountWaiting(queue) => Reply::count(self.shard.queued_jobs(&queue)),
+            RequestBody::CountWaiting(queue) => {
+                let services = self.shard.referred_services(&queue);
+                Reply { services, ..Reply::count(self.shard.queued_jobs(&queue)) }
+            }
         };
         // The requesting task may have given up.
         let _ = reply.send(answer);
     }
 
-    fn submit(&mut self, spec: JobSpec, reply: oneshot::Sender<Reply>) {
+    fn submit(&mut self, spec: JobSpec, searched: bool, reply: oneshot::Sender<Reply>) {
         let request_id = self.add_request(reply);
-        self.apply(Input::Submit { request_id, spec });
+        self.apply(Input::Submit { request_id, spec, searched });
     }
 
     /// Registers a reply and returns its request id.
@@ -392,6 +400,12 @@
                 metrics::counter!("lagoonrelay_jobs_refused_total", "why" => why.as_str()).increment(1);
                 self.answer(request_id, Reply::refused(retry_ms));
             }
+            Action::Referred { request_id, service } => {
+                self.answer(request_id, Reply::services(ReplyKind::Referred, vec![service]));
+            }
+            Action::Search { request_id, services } => {
+                self.answer(request_id, Reply::services(ReplyKind::Search, services));
+            }
             Action::Unknown(request_id) => self.answer(request_id, Reply::of(ReplyKind::NotFound)),
             Action::Start(order) => self.start(order),
             Action::Stop { worker, addr, task_id, run, cause } => {
--- a/components/relay/src/partition_map.rs
+++ b/components/relay/src/partition_map.rs
@@ -1,10 +1,13 @@
-//! Partitions of services, as the store's log has assigned them.
+//! Partitions of services and queues, as the store's log has assigned them.
 //!
 //! The partition of a service holds the records of its jobs, so a service keeps its partition for good, whichever pools
 //! come, go and return. Daemons may use different versions of the configuration at a time, and none decides alone: a
 //! daemon that misses a service proposes partitions in a record of a topic of their own, and the first record that names
 //! a service counts. An assignment never changes, so a daemon may use those that it has read for as long as it runs.
 //!
+//! The same holds for the home of a queue, the partition where its jobs are registered: that of the service which the
+//! queue was sent to at first.
+//!
 //! Older versions derived the partitions from the names of all services. The daemon that writes the first record looks
 //! for the jobs that they have stored: a service stays where most of its jobs are, and jobs in other partitions are
 //! noted as strays of their queues.
@@ -18,9 +21,13 @@
 use tokio::sync::{Mutex, watch};
 
 use crate::clock::{monotonic_ms, wall_ms};
-use crate::configuration::Configuration;
+use crate::configuration::{Configuration, Queue};
 use crate::platform::{KeyedRecords, Store};
 
+/// Most queues that are registered beside new services; with names of ordinary length they take a tenth of a record.
+/// Others are registered with their first job.
+const MAX_QUEUES: usize = 256;
+
 /// A name and its partition.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 struct Row {
@@ -36,6 +43,9 @@
     /// Services.
     #[prost(message, repeated, tag = "1")]
     services: Vec<Row>,
+    /// Homes of queues, by address.
+    #[prost(message, repeated, tag = "3")]
+    queues: Vec<Row>,
     /// Queues with jobs of older versions in other partitions than that of their service.
     #[prost(message, repeated, tag = "2")]
     strays: Vec<Row>,
@@ -45,6 +55,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct PartitionMap {
     services: BTreeMap<String, u32>,
+    /// Homes of queues, by address.
+    queues: BTreeMap<String, u32>,
     strays: BTreeMap<String, BTreeSet<u32>>,
     /// Offset at which the topic ended.
     end: u64,
@@ -67,6 +79,9 @@
         for row in proposal.services {
             self.services.entry(row.name).or_insert(row.partition);
         }
+        for row in proposal.queues {
+            self.queues.entry(row.name).or_insert(row.partition);
+        }
         for row in proposal.strays {
             self.strays.entry(row.name).or_default().insert(row.partition);
         }
@@ -77,6 +92,11 @@
         self.services.get(name).copied()
     }
 
+    /// Partition where the jobs of the queue at an address are registered.
+    pub fn home(&self, address: &str) -> Option<u32> {
+        self.queues.get(address).copied()
+    }
+
     /// Partitions besides that of its service that hold jobs of a queue, stored by older versions.
     pub fn strays(&self, queue: &str) -> BTreeSet<u32> {
         self.strays.get(queue).cloned().unwrap_or_default()
@@ -84,7 +104,8 @@
 
     /// All partitions that may hold jobs.
     pub fn partitions(&self) -> BTreeSet<u32> {
-        self.services.values().chain(self.strays.values().flatten()).copied().collect()
+        let services = self.services.values();
+        services.chain(self.queues.values()).chain(self.strays.values().flatten()).copied().collect()
     }
 
     /// Whether no record has been read, so that jobs may be in any partition.
@@ -194,10 +215,33 @@
         }
         let stored = if map.is_empty() { self.find_stored_jobs().await? } else { StoredJobs::default() };
         let proposal = propose(&map, config, &stored, self.count);
+        self.append(daemon, &proposal, map.end).await
+    }
+
+    /// Partition where the jobs of a queue are registered. Registers it, at the partition of its service, if it is
+    /// registered nowhere.
+    ///
+    /// # Errors
+    /// The store does not answer.
+    pub async fn find_home(&self, daemon: &str, queue: (&str, &str)) -> Result<Option<u32>, Fault> {
+        let (address, service) = queue;
+        if let Some(home) = self.newest().home(address) {
+            return Ok(Some(home));
+        }
+        let map = self.read_since(monotonic_ms()).await?;
+        if let (None, Some(partition)) = (map.home(address), map.service(service)) {
+            let queues = vec![Row { name: address.to_owned(), partition }];
+            self.append(daemon, &Proposal { queues, ..Proposal::default() }, map.end).await?;
+        }
+        Ok(self.newest().home(address))
+    }
+
+    /// Appends a proposal if the topic still ends at an offset, and reads what counts.
+    async fn append(&self, daemon: &str, proposal: &Proposal, end: u64) -> Result<(), Fault> {
         tracing::info!(?proposal, "partitions: proposed");
         // Each record has a key of its own, so that the topic keeps all of them.
         let key = format!("{daemon}/{}", wall_ms());
-        let accepted = self.store.append_assignments(&key, &proposal.encode_to_vec(), map.end).await;
+        let accepted = self.store.append_assignments(&key, &proposal.encode_to_vec(), end).await;
         self.read_since(monotonic_ms()).await?;
         if !accepted? {
             tracing::info!("partitions: another daemon has written first");
@@ -227,6 +271,10 @@
         (services.get(service) != Some(partition)).then(|| Row { name: queue.clone(), partition: *partition })
     };
     let strays = stored.queues.iter().filter_map(stray).collect();
+    let unregistered = config.queues.iter().filter(|q| map.home(&q.address()).is_none());
+    let home = |q: &Queue| Some(Row { name: q.address(), partition: *services.get(&q.service)? });
+    let queues = unregistered.filter_map(home).take(MAX_QUEUES).collect();
     let new = services.into_iter().filter(|(name, _)| !map.services.contains_key(name));
-    Proposal { services: new.map(|(name, partition)| Row { name, partition }).collect(), strays }
+    let services = new.map(|(name, partition)| Row { name, partition }).collect();
+    Proposal { services, queues, strays }
 }
--- a/components/relay/tests/daemons/main.rs
+++ b/components/relay/tests/daemons/main.rs
@@ -1,5 +1,6 @@
 //! Daemons that talk over loopback and share an in-memory store, workers and machines.
 
+mod moves;
 mod owner;
 mod platform;
 mod pools;
@@ -122,8 +123,10 @@
 }
 
 async fn submit_job(node: &Node, n: usize) {
-    eventually("the job is accepted", || async { node.submit(job(n), CALL_TIMEOUT).await == Outcome::Done })
-        .await;
+    eventually("the job is accepted", || async {
+        node.submit("", job(n), CALL_TIMEOUT).await == Outcome::Done
+    })
+    .await;
 }
 
 async fn wait_for_completion(node: &Node, n: usize) {
@@ -278,7 +281,7 @@
     let daemon = start_beside_owner(&[Answer::Silence, Answer::Refused]).await;
     eventually("the daemon is ready", || async { daemon.node.ready() }).await;
     // The first try may still be on its way to the owner.
-    let outcome = daemon.node.submit(job(1), CALL_TIMEOUT).await;
+    let outcome = daemon.node.submit("", job(1), CALL_TIMEOUT).await;
     assert_that!(outcome, eq(Outcome::Uncertain));
 }
 
@@ -286,7 +289,7 @@
 async fn a_refusal_of_the_only_try_says_that_the_job_was_not_run() {
     let daemon = start_beside_owner(&[Answer::Refused]).await;
     eventually("the daemon is ready", || async { daemon.node.ready() }).await;
-    let outcome = daemon.node.submit(job(1), CALL_TIMEOUT).await;
+    let outcome = daemon.node.submit("", job(1), CALL_TIMEOUT).await;
     assert_that!(outcome, eq(Outcome::Refused { retry_ms: 0 }));
 }
 
@@ -295,7 +298,7 @@
 async fn a_refusal_carries_the_time_until_the_caller_may_return() {
     let daemon = start_beside_owner(&[Answer::RefusedFor(4_200)]).await;
     eventually("the daemon is ready", || async { daemon.node.ready() }).await;
-    let outcome = daemon.node.submit(job(1), CALL_TIMEOUT).await;
+    let outcome = daemon.node.submit("", job(1), CALL_TIMEOUT).await;
     assert_that!(outcome, eq(Outcome::Refused { retry_ms: 4_200 }));
 }
 
@@ -306,7 +309,7 @@
     wait_for_completion(&daemons[0].node, 1).await;
     platform.state.lock().lost_answers = 1;
     let start = std::time::Instant::now();
-    let outcome = daemons[0].node.submit(job(2), CALL_TIMEOUT).await;
+    let outcome = daemons[0].node.submit("", job(2), CALL_TIMEOUT).await;
     assert_that!(outcome, eq(Outcome::Done));
     assert_that!(start.elapsed(), lt(platform::STORE_TIMEOUT));
     wait_for_completion(&daemons[0].node, 2).await;
--- a/components/relay/tests/daemons/platform.rs
+++ b/components/relay/tests/daemons/platform.rs
@@ -61,6 +61,8 @@
     pub workers: HashMap<String, Worker>,
     /// Started runs, as task and run number.
     pub starts: Vec<(String, u32)>,
+    /// Task and worker of each started run.
+    pub start_workers: Vec<(String, String)>,
     /// Members that have read the list of workers.
     pub readers: HashSet<String>,
     /// Machines of the spare pool.
@@ -313,6 +315,7 @@
             }
             worker.fencing_token = fencing_token;
             worker.running.insert(task.clone(), (order.run, monotonic_ms()));
+            state.start_workers.push((task.clone(), order.worker.clone()));
             state.starts.push((task, order.run));
             Ok(StartReply::Running)
         })
--- a/components/relay/tests/daemons/pools.rs
+++ b/components/relay/tests/daemons/pools.rs
@@ -29,7 +29,7 @@
     (0..100).map(|n| format!("a{n}")).find(displaces).expect("such a name")
 }
 
-async fn configure(platform: &Platform, daemons: &[Daemon], config: Configuration) {
+pub async fn configure(platform: &Platform, daemons: &[Daemon], config: Configuration) {
     let version = config.version;
     platform.state.lock().config = Some(config);
     for daemon in daemons {
@@ -127,7 +127,10 @@
         submit_job(&daemons[0].node, n).await;
         submit_job(&daemons[1].node, n).await;
     }
-    expect_that!(daemons[1].node.count_waiting("quotes", "q", CALL_TIMEOUT).await, eq(Outcome::Count(1)));
+    expect_that!(
+        daemons[1].node.count_waiting(&config(1).queues[0], CALL_TIMEOUT).await,
+        eq(Outcome::Count(1))
+    );
     expect_that!(
         daemons[1].node.cancel("quotes", &format!("{:016x}", 4), CALL_TIMEOUT).await,
         eq(Outcome::Done)
@@ -155,7 +158,7 @@
     configure(&platform, &daemons, next).await;
     let spec = JobSpec { queue: "p".into(), service: pool.into(), ..job(2) };
     eventually("the job is accepted", || async {
-        daemons[1].node.submit(spec.clone(), CALL_TIMEOUT).await == Outcome::Done
+        daemons[1].node.submit("", spec.clone(), CALL_TIMEOUT).await == Outcome::Done
     })
     .await;
     let id = spec.id.clone();
--- a/components/relay/tests/daemons/slow_link.rs
+++ b/components/relay/tests/daemons/slow_link.rs
@@ -80,7 +80,7 @@
 /// Hands a job in at the owner of its shard.
 async fn submit_at_owner(platform: &Platform, daemons: &[Daemon], spec: JobSpec) {
     eventually("the job is accepted", || async {
-        owner(platform, daemons).node.submit(spec.clone(), CALL_TIMEOUT).await == Outcome::Done
+        owner(platform, daemons).node.submit("", spec.clone(), CALL_TIMEOUT).await == Outcome::Done
     })
     .await;
 }
--- a/components/relay/tests/daemons/slow_store.rs
+++ b/components/relay/tests/daemons/slow_store.rs
@@ -43,11 +43,11 @@
     platform.state.lock().append_time = APPEND_TIME;
     // Its batch is in flight when the other one is submitted.
     let node = Arc::clone(&daemons[0].node);
-    let first = tokio::spawn(async move { node.submit(job(2), CALL_TIMEOUT).await });
+    let first = tokio::spawn(async move { node.submit("", job(2), CALL_TIMEOUT).await });
     let before = received(&platform).last().copied().unwrap_or(0);
     eventually("an append is in flight", || async { received(&platform).last() > Some(&before) }).await;
     let in_flight = received(&platform).last().copied().unwrap_or(0);
-    let outcome = daemons[0].node.submit(job(3), CALL_TIMEOUT).await;
+    let outcome = daemons[0].node.submit("", job(3), CALL_TIMEOUT).await;
     assert_that!(outcome, eq(Outcome::Done));
     let starts = || platform.state.lock().starts.iter().filter(|(t, _)| t.starts_with(&name(3))).count();
     eventually("its first start", || async { starts() > 0 }).await;
--- a/components/shard/benches/step.rs
+++ b/components/shard/benches/step.rs
@@ -57,7 +57,7 @@
     shard.apply(START, START, Input::Workers((0..workers).map(worker).collect()));
     for n in 0..waiting {
         let spec = job(n, 8, 64_000);
-        shard.apply(START, START, Input::Submit { request_id: n as u64, spec });
+        shard.apply(START, START, Input::Submit { request_id: n as u64, spec, searched: false });
     }
     for n in 0..6 {
         let now = START + 1 + n;
@@ -99,7 +99,7 @@
             let mut shard = shard(workers, waiting);
             for n in 0..BURST_TASKS / 8 {
                 let spec = job(waiting + n, 8, 100);
-                shard.apply(START + 10, START + 10, Input::Submit { request_id: 0, spec });
+                shard.apply(START + 10, START + 10, Input::Submit { request_id: 0, spec, searched: false });
             }
             shard.step(START + 10, START + 10, true);
             shard.apply(START + 10, START + 10, Input::Stored);
@@ -115,7 +115,7 @@
     for n in 0..workers * 10 / 8 {
         let mut spec = job(n, 8, 1_600);
         spec.steps[0].speculative = true;
-        shard.apply(now, now, Input::Submit { request_id: 0, spec });
+        shard.apply(now, now, Input::Submit { request_id: 0, spec, searched: false });
     }
     for _ in 0..6 {
         now += 1;
@@ -151,7 +151,7 @@
     shard.apply(START + 10, START + 10, Input::Weights(Some(HashMap::new())));
     for n in 0..waiting + workers {
         let spec = JobSpec { tenant: String::new(), ..job(n, 8, 8_000) };
-        shard.apply(START + 10, START + 10, Input::Submit { request_id: n as u64, spec });
+        shard.apply(START + 10, START + 10, Input::Submit { request_id: n as u64, spec, searched: false });
     }
     for n in 0..20 {
         for action in shard.step(START + 10 + n, START + 10, true) {
--- a/components/shard/src/admission.rs
+++ b/components/shard/src/admission.rs
@@ -16,13 +16,11 @@
 const EXPIRY_INTERVAL_MS: Ms = 1_000;
 
 impl Shard {
-    pub(crate) fn submit(&mut self, request_id: u64, mut spec: JobSpec) {
-        if let Some(job) = self.job_keys.get(&spec.id).and_then(|k| self.jobs.get_mut(k)) {
-            if job.stored {
-                self.actions.push(Action::Accepted(request_id));
-            } else {
-                job.submit_requests.push(request_id);
-            }
+    pub(crate) fn submit(&mut self, request_id: u64, mut spec: JobSpec, searched: bool) {
+        if self.answer_known_job(request_id, &spec.id) || self.answer_referred(request_id, &spec.id) {
+            return;
+        }
+        if !searched && self.ask_for_search(request_id, &spec.queue, &spec.service) {
             return;
         }
         if self.log_stalled() {
@@ -52,6 +50,17 @@
         self.activate_job(key);
     }
 
+    /// Answers a submission of a job that is known here, once it is stored; returns whether it is known.
+    pub(crate) fn answer_known_job(&mut self, request_id: u64, id: &str) -> bool {
+        let Some(job) = self.job_keys.get(id).and_then(|k| self.jobs.get_mut(k)) else { return false };
+        if job.stored {
+            self.actions.push(Action::Accepted(request_id));
+        } else {
+            job.submit_requests.push(request_id);
+        }
+        true
+    }
+
     pub(crate) fn add_job(&mut self, spec: JobSpec, queued_since: u64) -> JobKey {
         let key = self.next_job_key;
         self.next_job_key += 1;
@@ -243,6 +252,7 @@
         }
         self.expiry_due = self.now + EXPIRY_INTERVAL_MS;
         let old = self.wall_ms.saturating_sub(self.timing.retention);
+        self.delete_expired_referrals(old);
         let expired: Vec<JobKey> = self
             .jobs
             .iter()
--- a/components/shard/src/batch.rs
+++ b/components/shard/src/batch.rs
@@ -13,7 +13,7 @@
 
 /// Bytes after which a batch takes no further records. The store appends 2 MiB at a time, and the last job's two
 /// records may add half a MiB.
-const MAX_BATCH_BYTES: usize = 1_500_000;
+pub(crate) const MAX_BATCH_BYTES: usize = 1_500_000;
 
 /// A batch in flight, and what depends on it.
 #[derive(Debug, Default)]
@@ -33,6 +33,10 @@
     pub ends: Vec<(WorkerKey, u64, u64)>,
     /// Deletions of expired jobs.
     pub deletions: Vec<Record>,
+    /// Jobs that it refers to other services.
+    pub referrals: Vec<String>,
+    /// Queues whose services it holds.
+    pub queues: Vec<String>,
 }
 
 impl Shard {
@@ -53,6 +57,7 @@
         for key in keys {
             self.refuse_job(key);
         }
+        self.refuse_unsent_referrals();
     }
 
     /// Appends all pending records as one batch if none is in flight.
@@ -60,13 +65,16 @@
         if self.in_flight.is_some() {
             return;
         }
-        if self.dirty_jobs.is_empty() && self.deletions.is_empty() && self.dirty_workers.is_empty() {
+        let unchanged =
+            self.dirty_jobs.is_empty() && self.deletions.is_empty() && self.dirty_workers.is_empty();
+        if unchanged && !self.referrals.is_dirty() {
             self.acknowledge_all();
             return;
         }
         let deletions = std::mem::take(&mut self.deletions);
         let mut batch = Batch { sent_at: self.now, deletions, ..Batch::default() };
         let mut records = batch.deletions.clone();
+        self.collect_referrals(&mut batch, &mut records);
         self.collect_jobs(&mut batch, &mut records);
         self.collect_workers(&mut batch, &mut records);
         if records.is_empty() {
@@ -169,6 +177,7 @@
                 worker.lease_noted = lease_noted;
             }
         }
+        self.referrals_stored(batch.referrals);
         self.pending_starts.extend(batch.starts);
         for key in batch.jobs.into_iter().chain(batch.new_jobs) {
             self.job_stored(key);
@@ -187,6 +196,7 @@
                 job.cancel_requests.push(request_id);
             }
         }
+        self.referrals_failed(batch.referrals, batch.queues);
         for key in batch.new_jobs {
             self.refuse_job(key);
         }
@@ -203,6 +213,6 @@
     }
 }
 
-fn batch_bytes(records: &[Record]) -> usize {
+pub(crate) fn batch_bytes(records: &[Record]) -> usize {
     records.iter().map(|r| r.key.len() + r.value.as_ref().map_or(0, Vec::len)).sum()
 }
--- a/components/shard/src/io.rs
+++ b/components/shard/src/io.rs
@@ -86,6 +86,21 @@
         request_id: u64,
         /// The job; the shard sets its epoch and acceptance time.
         spec: JobSpec,
+        /// The job is in no shard to which jobs of its queue were referred.
+        searched: bool,
+    },
+    /// A caller submits a job of a queue that is registered here and sent to another service.
+    Refer {
+        /// Id that the answering action carries.
+        request_id: u64,
+        /// Job id.
+        id: String,
+        /// Queue of the job.
+        queue: String,
+        /// Service that is to accept it.
+        service: String,
+        /// The job is in no other shard to which jobs of its queue were referred.
+        searched: bool,
     },
     /// A caller cancels a job.
     Cancel {
@@ -183,6 +198,20 @@
         /// Cause.
         why: Refusal,
     },
+    /// Answer a submission: the shard of this service accepts the job.
+    Referred {
+        /// Id of the submission.
+        request_id: u64,
+        /// Service.
+        service: String,
+    },
+    /// Answer a submission: the job may be in the shards of these services.
+    Search {
+        /// Id of the submission.
+        request_id: u64,
+        /// Services.
+        services: Vec<String>,
+    },
     /// Answer a cancellation: it is stored.
     Cancelled(u64),
     /// Answer a cancellation: there is no such job.
--- a/components/shard/src/lib.rs
+++ b/components/shard/src/lib.rs
@@ -31,6 +31,7 @@
 mod rank;
 mod record;
 mod recovery;
+mod referral;
 mod report;
 mod second_run;
 mod standstill;
--- a/components/shard/src/record.rs
+++ b/components/shard/src/record.rs
@@ -8,6 +8,8 @@
 const JOB_PREFIX: &str = "j:";
 const PROGRESS_PREFIX: &str = "p:";
 const WORKER_PREFIX: &str = "w:";
+const REFERRAL_PREFIX: &str = "r:";
+const QUEUE_PREFIX: &str = "q:";
 
 /// A record to append.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -108,11 +110,35 @@
     pub occurrences: Vec<OccurrenceProgress>,
 }
 
+/// A job that another service's shard accepts.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub(crate) struct ReferralRecord {
+    /// Queue of the job.
+    #[prost(string, tag = "1")]
+    pub queue: String,
+    /// Service.
+    #[prost(string, tag = "2")]
+    pub service: String,
+    /// Wall clock at the referral, in milliseconds since the Unix epoch.
+    #[prost(uint64, tag = "3")]
+    pub referred_at: u64,
+}
+
+/// Services to which jobs of a queue were referred.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub(crate) struct QueueRecord {
+    /// Names of the services.
+    #[prost(string, repeated, tag = "1")]
+    pub services: Vec<String>,
+}
+
 /// A record read back from the log.
 pub(crate) enum StoredRecord {
     Job(JobSpec),
     Progress(String, Progress),
     Worker(WorkerRecord),
+    Referral(String, ReferralRecord),
+    Queue(String, QueueRecord),
 }
 
 /// Parses a record; `None` if it is malformed or of an unknown kind.
@@ -123,6 +149,12 @@
     if let Some(id) = key.strip_prefix(PROGRESS_PREFIX) {
         return Some(StoredRecord::Progress(id.to_owned(), Progress::decode(value).ok()?));
     }
+    if let Some(id) = key.strip_prefix(REFERRAL_PREFIX) {
+        return Some(StoredRecord::Referral(id.to_owned(), ReferralRecord::decode(value).ok()?));
+    }
+    if let Some(queue) = key.strip_prefix(QUEUE_PREFIX) {
+        return Some(StoredRecord::Queue(queue.to_owned(), QueueRecord::decode(value).ok()?));
+    }
     key.starts_with(WORKER_PREFIX)
         .then(|| WorkerRecord::decode(value).ok().map(StoredRecord::Worker))
         .flatten()
@@ -150,6 +182,19 @@
     [JOB_PREFIX, PROGRESS_PREFIX].map(|prefix| Record { key: format!("{prefix}{id}"), value: None })
 }
 
+pub(crate) fn referral(id: &str, referral: &ReferralRecord) -> Record {
+    Record { key: format!("{REFERRAL_PREFIX}{id}"), value: Some(referral.encode_to_vec()) }
+}
+
+pub(crate) fn referral_deletion(id: &str) -> Record {
+    Record { key: format!("{REFERRAL_PREFIX}{id}"), value: None }
+}
+
+pub(crate) fn queue_services<'a>(queue: &str, services: impl Iterator<Item = &'a String>) -> Record {
+    let record = QueueRecord { services: services.cloned().collect() };
+    Record { key: format!("{QUEUE_PREFIX}{queue}"), value: Some(record.encode_to_vec()) }
+}
+
 /// Records the runs of a worker; the record is deleted once there are none.
 pub(crate) fn worker(id: &str, addr: &str, runs: Vec<RunRecord>, lease_left: u64) -> Record {
     let record = WorkerRecord { id: id.to_owned(), addr: addr.to_owned(), runs, lease_left };
--- a/components/shard/src/recovery.rs
+++ b/components/shard/src/recovery.rs
@@ -26,6 +26,10 @@
                     progress.insert(id, done);
                 }
                 Some(StoredRecord::Worker(worker)) => workers.push(worker),
+                Some(StoredRecord::Referral(id, referral)) => self.referrals.load_job(id, referral),
+                Some(StoredRecord::Queue(queue, record)) => {
+                    self.referrals.load_queue(queue, record.services);
+                }
                 None => tracing::warn!(key, "shard: stored record is malformed or of an unknown kind"),
             }
         }
--- a/components/shard/src/state.rs
+++ b/components/shard/src/state.rs
@@ -13,6 +13,7 @@
 use crate::model::Resources;
 use crate::overload::Control;
 use crate::record::Record;
+use crate::referral::Referrals;
 use crate::second_run::CopyOutcome;
 use crate::worker::{Reachability, WorkerKey};
 use crate::worker_table::WorkerTable;
@@ -89,6 +90,7 @@
     /// Jobs at a standstill, and since when.
     pub(crate) standing_since: HashMap<JobKey, Ms>,
     pub(crate) overload: Control,
+    pub(crate) referrals: Referrals,
 }
 
 impl Shard {
@@ -127,6 +129,7 @@
             copy_outcomes: Vec::new(),
             standing_since: HashMap::new(),
             overload: Control::default(),
+            referrals: Referrals::default(),
         }
     }
 
@@ -154,7 +157,10 @@
         self.now = self.now.max(now);
         self.wall_ms = wall_ms;
         match input {
-            Input::Submit { request_id, spec } => self.submit(request_id, spec),
+            Input::Submit { request_id, spec, searched } => self.submit(request_id, spec, searched),
+            Input::Refer { request_id, id, queue, service, searched } => {
+                self.refer(request_id, id, (queue, service), searched);
+            }
             Input::Cancel { request_id, id } => self.cancel(request_id, &id),
             Input::Workers(list) => self.update_workers(list),
             Input::Foreign { worker } => self.drop_foreign_worker(&worker),
--- a/components/shard/tests/fleet/main.rs
+++ b/components/shard/tests/fleet/main.rs
@@ -11,6 +11,7 @@
 mod occurrences;
 mod overload;
 mod random_faults;
+mod referrals;
 mod review;
 mod slow_log;
 mod standstill;
--- a/components/shard/tests/fleet/support.rs
+++ b/components/shard/tests/fleet/support.rs
@@ -93,6 +93,8 @@
     pub failing_payload: &'static str,
     /// Replies to callers by request id.
     pub replies: HashMap<u64, &'static str>,
+    /// Services in replies, by request id.
+    pub services: HashMap<u64, Vec<String>>,
     /// Milliseconds until refused callers may return, by request id.
     pub retries: HashMap<u64, Ms>,
     pub start_requests: Vec<StartRequest>,
@@ -134,6 +136,7 @@
             speculative: HashSet::new(),
             failing_payload: "poison",
             replies: HashMap::new(),
+            services: HashMap::new(),
             retries: HashMap::new(),
             start_requests: Vec::new(),
             stops: Vec::new(),
@@ -164,7 +167,16 @@
         let request_id = self.next_request;
         let speculative = (0..).zip(&spec.steps).filter(|(_, s)| s.speculative);
         self.speculative.extend(speculative.map(|(step, _)| (spec.id.clone(), step)));
-        self.apply(Input::Submit { request_id, spec });
+        self.apply(Input::Submit { request_id, spec, searched: false });
+        request_id
+    }
+
+    /// Asks to refer a job of queue `q` to a service.
+    pub fn refer(&mut self, id: &str, service: &str, searched: bool) -> u64 {
+        self.next_request += 1;
+        let request_id = self.next_request;
+        let (id, queue, service) = (id.into(), "q".into(), service.into());
+        self.apply(Input::Refer { request_id, id, queue, service, searched });
         request_id
     }
 
@@ -259,6 +271,14 @@
             }
             Action::Cancelled(t) => drop(self.replies.insert(t, "cancelled")),
             Action::Unknown(t) => drop(self.replies.insert(t, "unknown")),
+            Action::Referred { request_id, service } => {
+                self.replies.insert(request_id, "referred");
+                self.services.insert(request_id, vec![service]);
+            }
+            Action::Search { request_id, services } => {
+                self.replies.insert(request_id, "search");
+                self.services.insert(request_id, services);
+            }
             Action::Start(request) => self.start(request),
             Action::Stop { worker, task_id, run, .. } => self.stop(&worker, &task_id, run),
             Action::Throttle { percent, .. } => self.speeds.push(percent),
--- a/components/shard/tests/overload/player.rs
+++ b/components/shard/tests/overload/player.rs
@@ -308,7 +308,8 @@
     }
 
     fn submit(&mut self, job: usize) {
-        let input = Input::Submit { request_id: job as u64, spec: self.specs[job].0.clone() };
+        let input =
+            Input::Submit { request_id: job as u64, spec: self.specs[job].0.clone(), searched: false };
         self.inputs.push_back(input);
     }
 
