A service without stored jobs gets the partition that older versions use

What callers would have seen: during a roll-out, a job that an older daemon accepts could be in a partition that the newer ones do not know, and be denied by them.

Cause: the first assignment placed services around those that have stored jobs, while older daemons place all of them by name.

Change: the first assignment is the older one, but for services whose jobs are stored elsewhere.

--- a/components/relay/src/partition_map.rs
+++ b/components/relay/src/partition_map.rs
@@ -262,11 +262,9 @@
 
 fn propose(map: &PartitionMap, config: &Configuration, stored: &StoredJobs, count: u32) -> Proposal {
     let mut services = map.services.clone();
-    for (name, partition) in stored.homes() {
-        services.entry(name).or_insert(partition);
-    }
-    let added = config.new_partitions(count, &services);
-    services.extend(added);
+    // Without assignments, these are the partitions that daemons of older versions use.
+    services.extend(config.new_partitions(count, &map.services));
+    services.extend(stored.homes());
     let stray = |(queue, service, partition): &(String, String, u32)| {
         (services.get(service) != Some(partition)).then(|| Row { name: queue.clone(), partition: *partition })
     };
--- a/components/relay/tests/daemons/pools.rs
+++ b/components/relay/tests/daemons/pools.rs
@@ -138,6 +138,24 @@
     expect_that!(platform.state.lock().starts.len(), eq(6));
 }
 
+// Guards against jobs that an older daemon accepts, during a roll-out, in a partition that newer ones do not know.
+#[gtest]
+#[tokio::test]
+async fn a_service_without_stored_jobs_gets_the_partition_that_older_versions_use() {
+    let (platform, _) = start_fleet(0).await;
+    // The only stored job is one of the other pool, where that version had it.
+    let pool = displacing_pool();
+    let partitions = config_with(1, &pool).new_partitions(PARTITIONS - 1, &BTreeMap::new());
+    let elsewhere = (0..PARTITIONS - 1).find(|p| *p != partitions[&pool]).expect("another partition");
+    store_job(&platform, elsewhere, &JobSpec { service: pool.clone(), accepted_at: 1, epoch: 64, ..job(1) });
+    platform.state.lock().config = Some(config_with(1, &pool));
+    let daemon = start_daemon(&platform, 0, true).await;
+    eventually("the daemon is ready", || async { daemon.node.ready() }).await;
+    submit_job(&daemon.node, 2).await;
+    let state = platform.state.lock();
+    expect_true!(state.partitions[&partitions["quotes"]].contains_key(&format!("j:{}", job(2).id)));
+}
+
 // Guards against a shard that keeps commanding a worker of a service whose partition is another one.
 #[gtest]
 #[tokio::test]
