Completed occurrences are stored as ranges

Cause: the one record with a job's progress listed each completed occurrence, until the store refused it and with it each batch of the shard.

Evidence: 27,878 bytes for 4,000 occurrences on, by the regression test, which failed there.

Change: more than 64 completed occurrences are stored as ranges. The older form is read, and written up to 64.

--- a/components/shard/src/job.rs
+++ b/components/shard/src/job.rs
@@ -12,6 +12,9 @@
 /// Occurrences of a job in progress at which no further one becomes active.
 const MAX_ACTIVE_OCCURRENCES: usize = 1_000;
 
+/// Completed occurrences up to which the log lists them one by one, the only form that versions before ranges read.
+const MAX_LISTED_OCCURRENCES: u64 = 64;
+
 /// Internal key of a job.
 pub(crate) type JobKey = u32;
 
@@ -174,15 +177,19 @@
 
     /// Progress in the form that the log stores.
     pub fn progress(&self) -> Progress {
-        let mut occurrences: Vec<OccurrenceProgress> = self
-            .completed
-            .numbers()
-            .map(|occurrence| OccurrenceProgress { occurrence, complete: true, steps: Vec::new() })
-            .collect();
+        let listed = self.completed.count() <= MAX_LISTED_OCCURRENCES;
+        let complete = |occurrence| OccurrenceProgress { occurrence, complete: true, steps: Vec::new() };
+        let mut occurrences: Vec<OccurrenceProgress> = Vec::new();
+        let mut completed = Vec::new();
+        if listed {
+            occurrences.extend(self.completed.numbers().map(complete));
+        } else {
+            completed.extend(self.completed.ranges());
+        }
         if self.verdict == Verdict::Open {
             occurrences.extend(self.occurrences.iter().map(Occurrence::progress));
         }
-        Progress { verdict: self.verdict as i32, ended_at: self.ended_at, occurrences }
+        Progress { verdict: self.verdict as i32, ended_at: self.ended_at, occurrences, completed }
     }
 }
 
--- a/components/shard/src/ranges.rs
+++ b/components/shard/src/ranges.rs
@@ -5,9 +5,13 @@
 pub(crate) struct Ranges(Vec<Range>);
 
 /// First and last number of a range.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Range {
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct Range {
+    /// First number.
+    #[prost(uint32, tag = "1")]
     pub first: u32,
+    /// Last number.
+    #[prost(uint32, tag = "2")]
     pub last: u32,
 }
 
@@ -22,21 +26,20 @@
     }
 
     pub fn insert(&mut self, number: u32) {
-        if self.contains(number) {
+        self.insert_range(Range { first: number, last: number });
+    }
+
+    /// Adds all numbers of a range.
+    pub fn insert_range(&mut self, range: Range) {
+        if range.first > range.last {
             return;
         }
-        let index = self.index(number);
-        let follows = index > 0 && self.0[index - 1].last + 1 == number;
-        let precedes = self.0.get(index).is_some_and(|r| number + 1 == r.first);
-        match (follows, precedes) {
-            (true, true) => {
-                self.0[index - 1].last = self.0[index].last;
-                self.0.remove(index);
-            }
-            (true, false) => self.0[index - 1].last = number,
-            (false, true) => self.0[index].first = number,
-            (false, false) => self.0.insert(index, Range { first: number, last: number }),
-        }
+        let begin = self.0.partition_point(|r| r.last.saturating_add(1) < range.first);
+        let end = self.0.partition_point(|r| r.first <= range.last.saturating_add(1));
+        let merged = self.0[begin..end]
+            .iter()
+            .fold(range, |a, b| Range { first: a.first.min(b.first), last: a.last.max(b.last) });
+        self.0.splice(begin..end, [merged]);
     }
 
     /// Lowest number from `from` on that is not in the set.
@@ -56,6 +59,11 @@
         self.0.is_empty()
     }
 
+    /// The ranges in ascending order.
+    pub fn ranges(&self) -> impl Iterator<Item = Range> + '_ {
+        self.0.iter().copied()
+    }
+
     /// All numbers in ascending order.
     pub fn numbers(&self) -> impl Iterator<Item = u32> + '_ {
         self.0.iter().flat_map(|r| r.first..=r.last)
@@ -69,3 +77,7 @@
         ranges
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/units/ranges.rs"]
+mod tests;
--- a/components/shard/src/record.rs
+++ b/components/shard/src/record.rs
@@ -4,6 +4,7 @@
 
 use crate::job::Job;
 use crate::model::{JobSpec, Verdict};
+use crate::ranges::{Range, Ranges};
 
 const JOB_PREFIX: &str = "j:";
 const PROGRESS_PREFIX: &str = "p:";
@@ -105,9 +106,22 @@
     /// Wall clock at its end, in milliseconds since the Unix epoch; 0 if it has not ended.
     #[prost(uint64, tag = "2")]
     pub ended_at: u64,
-    /// Occurrences that have become due; only the completed ones once the job has ended.
+    /// Occurrences that have become due and are in progress, and completed ones if they are not in `completed`.
     #[prost(message, repeated, tag = "3")]
     pub occurrences: Vec<OccurrenceProgress>,
+    /// Completed occurrences of a job that has more of them than are listed one by one.
+    #[prost(message, repeated, tag = "4")]
+    pub completed: Vec<Range>,
+}
+
+impl Progress {
+    /// Numbers of all completed occurrences.
+    pub(crate) fn completed(&self) -> Ranges {
+        let listed = self.occurrences.iter().filter(|o| o.complete).map(|o| o.occurrence);
+        let mut all: Ranges = listed.collect();
+        self.completed.iter().for_each(|range| all.insert_range(*range));
+        all
+    }
 }
 
 /// A job that another service's shard accepts.
--- a/components/shard/src/recovery.rs
+++ b/components/shard/src/recovery.rs
@@ -124,9 +124,9 @@
             job.verdict = verdict;
             job.stored_verdict = verdict;
             job.ended_at = progress.ended_at;
-            job.completed =
-                progress.occurrences.iter().filter(|o| o.complete).map(|o| o.occurrence).collect();
-            job.started = progress.occurrences.iter().any(OccurrenceProgress::has_begun);
+            job.completed = progress.completed();
+            job.started =
+                !job.completed.is_empty() || progress.occurrences.iter().any(OccurrenceProgress::has_begun);
         }
         if verdict != Verdict::Open {
             return;
--- a/components/shard/tests/fleet/occurrences.rs
+++ b/components/shard/tests/fleet/occurrences.rs
@@ -85,3 +85,53 @@
     let order: Vec<&str> = fleet.start_requests.iter().map(|r| r.task_id.job.as_str()).collect();
     expect_that!(order[..2], elements_are![eq(&"busy"), eq(&"a")]);
 }
+
+/// Size of a job's stored progress.
+fn progress_bytes(fleet: &Fleet) -> usize {
+    fleet.log["p:a"].len()
+}
+
+// Guards against a record that grows with each completed occurrence until the store refuses it, and with it the records of
+// all other jobs of the shard.
+#[gtest]
+fn progress_is_as_large_after_thousands_of_occurrences_as_after_a_hundred() {
+    let mut fleet = Fleet::new(4, 64_000);
+    fleet.work_ms = 20;
+    let first = WALL_CLOCK_START_MS + fleet.now;
+    let repeat = Some(Repeat { first, interval: 2, count: 4_000 });
+    fleet.submit(JobSpec { repeat, ..job("a", vec![step(1, 1_000)]) });
+    let mut largest = 0;
+    for second in 0..15 {
+        fleet.advance(1_000);
+        largest = largest.max(progress_bytes(&fleet));
+        if second % 4 == 3 {
+            fleet.change_owner();
+        }
+    }
+    expect_that!(fleet.job_state("a"), some(eq(JobState::Completed)));
+    expect_that!(fleet.start_requests.len(), ge(4_000));
+    // Those in progress take a few bytes each, at most 1,000 of them.
+    expect_that!(largest, lt(32 * 1_024));
+    expect_that!(progress_bytes(&fleet), lt(100));
+}
+
+// Guards against occurrences of jobs in the older form that run again.
+#[gtest]
+fn progress_that_older_versions_have_stored_is_read() {
+    let mut fleet = Fleet::new(1, 1_000);
+    fleet.work_ms = 900;
+    let repeat = Some(Repeat { first: WALL_CLOCK_START_MS + fleet.now + 60_000, interval: 0, count: 2_000 });
+    fleet.submit(JobSpec { repeat, ..job("a", vec![step(1, 1_000)]) });
+    fleet.advance(100);
+    // Field 3 lists each completed occurrence: its number, and that it is complete. All but the last two.
+    let listed = (0..1_998_u32).flat_map(|number| {
+        let low = u8::try_from(number & 0x7f).expect("seven bits") | 0x80;
+        let high = u8::try_from(number >> 7).expect("a low number");
+        [0x1a, 5, 0x08, low, high, 0x10, 1]
+    });
+    fleet.log.insert("p:a".into(), listed.collect());
+    fleet.change_owner();
+    fleet.advance(70_000);
+    expect_that!(started(&fleet), elements_are![eq(&1_998), eq(&1_999)]);
+    expect_that!(fleet.job_state("a"), some(eq(JobState::Completed)));
+}
