A failure of a task with a copy counts once by its run's number

Cause: counted failures were told by the highest run number. While large jobs wait, the progress is stored before the worker's record, so the next owner inherits the first run, whose number is below that of its failed copy, and its end counted again.

Change: tasks with copies keep the last three lower run numbers that were counted, in memory and in the log.

--- a/components/shard/src/completion.rs
+++ b/components/shard/src/completion.rs
@@ -131,12 +131,9 @@
         let mut failures = 0;
         self.with_task(task, |t| {
             // The first run can fail after the copy, whose number is higher.
-            let uncounted = copies_allowed && current && run < t.last_failed_run;
-            if run <= t.last_failed_run && !uncounted {
+            if !t.count_failure(run, copies_allowed, current) {
                 return;
             }
-            t.last_failed_run = t.last_failed_run.max(run);
-            t.failures += 1;
             first_failure = t.avoided_workers.is_empty();
             if !t.avoided_workers.contains(&key) {
                 t.avoided_workers.push(key);
--- a/components/shard/src/job.rs
+++ b/components/shard/src/job.rs
@@ -15,6 +15,10 @@
 /// Completed occurrences up to which the log lists them one by one, the only form that versions before ranges read.
 const MAX_LISTED_OCCURRENCES: u64 = 64;
 
+/// Failed runs of a task that are told from new ones by their numbers, besides the highest. Workers' records name two runs
+/// of a task at a time, and one more that has lost.
+const MAX_LOWER_RUNS: usize = 3;
+
 /// Internal key of a job.
 pub(crate) type JobKey = u32;
 
@@ -62,6 +66,8 @@
     pub failures: u32,
     /// Highest run number counted in `failures`.
     pub last_failed_run: u32,
+    /// Lower run numbers that were counted, the latest first, if its step allows copies; 0 for none.
+    pub lower_failed_runs: [u32; MAX_LOWER_RUNS],
     /// Newest checkpoint; empty if none.
     pub checkpoint: String,
     /// Workers on which a run of it failed or made no progress.
@@ -215,6 +221,31 @@
     }
 }
 
+impl Task {
+    /// Counts the failure of a run; returns false if it was counted before. If copies are allowed, a `current` run, one in
+    /// its worker's table, may have a lower number than one that was counted.
+    pub fn count_failure(&mut self, run: u32, copies_allowed: bool, current: bool) -> bool {
+        let unknown_lower = run < self.last_failed_run && !self.lower_failed_runs.contains(&run);
+        if run > self.last_failed_run {
+            if copies_allowed && self.last_failed_run > 0 {
+                self.note_lower_run(self.last_failed_run);
+            }
+            self.last_failed_run = run;
+        } else if copies_allowed && current && unknown_lower {
+            self.note_lower_run(run);
+        } else {
+            return false;
+        }
+        self.failures += 1;
+        true
+    }
+
+    fn note_lower_run(&mut self, run: u32) {
+        self.lower_failed_runs.rotate_right(1);
+        self.lower_failed_runs[0] = run;
+    }
+}
+
 impl Step {
     fn new(count: u32) -> Self {
         let task = || Task {
@@ -226,6 +257,7 @@
             last_run: 0,
             failures: 0,
             last_failed_run: 0,
+            lower_failed_runs: [0; MAX_LOWER_RUNS],
             checkpoint: String::new(),
             avoided_workers: Vec::new(),
             not_before: 0,
@@ -264,6 +296,7 @@
                     index,
                     count: task.failures,
                     last_failed_run: task.last_failed_run,
+                    lower_failed_runs: task.lower_failed_runs.into_iter().filter(|r| *r > 0).collect(),
                 });
             }
         }
@@ -281,6 +314,9 @@
             if let Some(task) = self.tasks.get_mut(failure.index as usize) {
                 task.failures = failure.count;
                 task.last_failed_run = failure.last_failed_run;
+                for (slot, run) in task.lower_failed_runs.iter_mut().zip(&failure.lower_failed_runs) {
+                    *slot = *run;
+                }
                 task.last_run = task.last_run.max(failure.last_failed_run);
             }
         }
--- a/components/shard/src/record.rs
+++ b/components/shard/src/record.rs
@@ -51,7 +51,7 @@
 }
 
 /// Failed runs of one task.
-#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+#[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct TaskFailures {
     /// Task within the step.
     #[prost(uint32, tag = "1")]
@@ -62,6 +62,9 @@
     /// Highest run number that failed; the worker may report that end again.
     #[prost(uint32, tag = "3")]
     pub last_failed_run: u32,
+    /// Lower run numbers that failed; a worker's record may still name them.
+    #[prost(uint32, repeated, tag = "4")]
+    pub lower_failed_runs: Vec<u32>,
 }
 
 /// Progress of a step.
