--- a/components/relay/src/node/jobs.rs
+++ b/components/relay/src/node/jobs.rs
@@ -35,6 +35,9 @@
 /// Age in milliseconds of the oldest count of waiting jobs that may be given.
 const COUNT_AGE_MS: u64 = 2_000;
 
+/// Outcome of a submission that was sent to no shard that could accept the job.
+const NOT_SUBMITTED: Outcome = Outcome::Refused { retry_ms: 0 };
+
 /// What the home of a job's queue says of a new job.
 enum Registration {
     /// The outcome of the submission.
@@ -49,18 +52,14 @@
     /// Submits a job to the queue at an address.
     pub async fn submit(&self, address: &str, spec: JobSpec, timeout: Duration) -> Outcome {
         let deadline = self.call_deadline(timeout);
-        // Nothing is submitted before the home of the queue says where.
-        const NOT_SUBMITTED: Outcome = Outcome::Refused { retry_ms: 0 };
         let Some(partition) = self.wait_for_partition(&spec.service, deadline).await else {
             return NOT_SUBMITTED;
         };
         let Some(home) = self.home(address, &spec.service, deadline).await else { return NOT_SUBMITTED };
         let strays = self.partitions().newest().strays(&spec.queue).into_iter();
         let strays = strays.filter(|p| ![home, partition].contains(p)).collect();
-        match self.find(&strays, &RequestBody::JobState(spec.id.clone()), deadline).await {
-            Outcome::NotFound => {}
-            Outcome::State(_) => return Outcome::Done,
-            _ => return NOT_SUBMITTED,
+        if let Some(outcome) = self.outcome_elsewhere(&strays, &spec.id, deadline).await {
+            return outcome;
         }
         let mut searched = false;
         loop {
@@ -74,16 +73,30 @@
                     let Some(partitions) = self.partitions_of(&services, deadline).await else {
                         return NOT_SUBMITTED;
                     };
-                    match self.find(&partitions, &RequestBody::JobState(spec.id.clone()), deadline).await {
-                        Outcome::NotFound => searched = true,
-                        Outcome::State(_) => return Outcome::Done,
-                        _ => return NOT_SUBMITTED,
+                    if let Some(outcome) = self.outcome_elsewhere(&partitions, &spec.id, deadline).await {
+                        return outcome;
                     }
+                    searched = true;
                 }
             }
         }
     }
 
+    /// Looks for a job in shards that may have accepted it earlier. Returns the outcome of its submission, or `None` if
+    /// it is in none of them.
+    async fn outcome_elsewhere(
+        &self,
+        partitions: &BTreeSet<u32>,
+        id: &str,
+        deadline: Instant,
+    ) -> Option<Outcome> {
+        match self.find(partitions, &RequestBody::JobState(id.to_owned()), deadline).await {
+            Outcome::NotFound => None,
+            Outcome::State(_) => Some(Outcome::Done),
+            _ => Some(NOT_SUBMITTED),
+        }
+    }
+
     /// Registers a job at the home of its queue, which accepts it if it is also the partition of its service.
     async fn register(
         &self,
@@ -119,7 +132,7 @@
     async fn submit_referred(&self, spec: JobSpec, service: String, deadline: Instant) -> Outcome {
         let partitions = self.partitions_of(std::slice::from_ref(&service), deadline).await;
         let Some(partition) = partitions.and_then(|p| p.first().copied()) else {
-            return Outcome::Refused { retry_ms: 0 };
+            return NOT_SUBMITTED;
         };
         let spec = JobSpec { service, ..spec };
         self.call_owner(partition, RequestBody::SubmitSearched(spec), deadline).await
