The test that a later name moves no service is back

The new one does not cover what the old one did: that partitions computed from names alone, as for the first record and by older daemons, do not change when a later name is added. Both stand now, the old one with its assertion unchanged.

--- a/components/relay/tests/configuration.rs
+++ b/components/relay/tests/configuration.rs
@@ -38,6 +38,15 @@
     assert_that!(partitions.values().all(|p| *p < 23), eq(true));
 }
 
+#[test]
+fn a_service_keeps_its_partition_when_a_later_name_is_added() {
+    let before = config_of(&["a", "b", "c"]).new_partitions(23, &BTreeMap::new());
+    let after = config_of(&["a", "b", "c", "d"]).new_partitions(23, &BTreeMap::new());
+    for name in ["a", "b", "c"] {
+        assert_that!(after[name], eq(before[name]));
+    }
+}
+
 /// Guards against jobs that become unknown because a new pool changes the partitions of others.
 #[test]
 fn services_keep_their_partitions_whatever_names_are_added() {
