--- a/components/shard/src/ranges.rs
+++ b/components/shard/src/ranges.rs
@@ -77,7 +77,3 @@
         ranges
     }
 }
-
-#[cfg(test)]
-#[path = "../tests/units/ranges.rs"]
-mod tests;
--- a/components/shard/tests/units/ranges.rs
+++ b/components/shard/tests/ranges.rs
@@ -1,10 +1,13 @@
 //! Ranges against a plain set of numbers.
 
+#[path = "../src/ranges.rs"]
+mod ranges;
+
 use std::collections::BTreeSet;
 
-use super::{Range, Ranges};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use ranges::{Range, Ranges};
 
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: RngSeed::Fixed(7), ..ProptestConfig::default() })]
@@ -25,6 +28,7 @@
         let numbers: Vec<u32> = ranges.numbers().collect();
         prop_assert_eq!(&numbers, &plain.iter().copied().collect::<Vec<_>>());
         prop_assert_eq!(ranges.count(), plain.len() as u64);
+        prop_assert_eq!(ranges.is_empty(), plain.is_empty());
         let runs: Vec<Range> = ranges.ranges().collect();
         prop_assert!(runs.windows(2).all(|w| w[0].last + 1 < w[1].first), "{:?}", runs);
         for number in base..=base + 69 {
