--- a/components/relay/tests/daemons/platform.rs
+++ b/components/relay/tests/daemons/platform.rs
@@ -1,22 +1,19 @@
-//! An in-memory platform: a store with a group, operators' documents, workers and machines.
+//! An in-memory platform: a store with a group and operators' documents, beside workers and machines.
+
+mod workers;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use edge::{Call, Fault};
-use maintenance::{Machine, MachineState};
 use parking_lot::Mutex;
-use relay::platform::{
-    AppendReply, Assignment, AssignmentTopic, Changes, Document, KeyedRecords, Machines, OrderReply, Poll,
-    PollReply, Store, Workers,
-};
+use relay::platform::{AppendReply, Assignment, AssignmentTopic, Changes, Document, KeyedRecords, Store};
 use relay::{Configuration, Customer, Pool, Queue, Role, monotonic_ms};
-use shard::{
-    Record, Resources, RunEnd, RunOutcome, RunStatus, StartReply, StartRequest, TaskId, WorkerInfo,
-    WorkerReport,
-};
+use shard::{Record, Resources, WorkerInfo};
 use tokio::time::Instant;
+pub use workers::Worker;
+use workers::info;
 
 /// Time after which a call without an answer fails.
 pub const STORE_TIMEOUT: Duration = Duration::from_millis(600);
@@ -24,6 +21,7 @@
 const REPEATED_APPENDS: u64 = 5;
 /// Number of partitions; the last one is the coordinator's.
 pub const PARTITIONS: u32 = 4;
+/// Pool whose machines are off.
 const SPARE_POOL: &str = "spare";
 /// Run time of a task in milliseconds.
 pub const TASK_MS: u64 = 60;
@@ -71,39 +69,6 @@
     pub moves: Vec<(String, String)>,
 }
 
-#[derive(Debug, Default)]
-pub struct Worker {
-    /// Service, unless it is that of the tests' queue.
-    pub service: Option<&'static str>,
-    /// Highest fencing token seen.
-    pub fencing_token: u64,
-    /// Run number and start time by task.
-    pub running: BTreeMap<String, (u32, u64)>,
-    pub ended: Vec<RunEnd>,
-    /// Number of the last ended run.
-    pub last_end: u64,
-}
-
-impl Worker {
-    /// Ends the runs whose time is over.
-    fn end_runs(&mut self, now: u64) {
-        let due: Vec<String> =
-            self.running.iter().filter(|(_, (_, at))| now >= at + TASK_MS).map(|(n, _)| n.clone()).collect();
-        for task in due {
-            let Some((run, _)) = self.running.remove(&task) else { continue };
-            self.last_end += 1;
-            let task_id = TaskId::parse(&task).expect("task id");
-            self.ended.push(RunEnd {
-                sequence: self.last_end,
-                task_id,
-                run,
-                outcome: RunOutcome::Done,
-                checkpoint: String::new(),
-            });
-        }
-    }
-}
-
 impl State {
     /// Assigns the partitions evenly to the members that are owners.
     pub fn assignment(&self, member: &str) -> Assignment {
@@ -304,132 +269,6 @@
     }
 }
 
-impl Workers for PlatformClient {
-    fn start<'a>(&'a self, order: &'a StartRequest, fencing_token: u64) -> Call<'a, StartReply> {
-        Box::pin(async move {
-            let mut state = self.platform.state.lock();
-            let task = order.task_id.to_string();
-            let worker = state.workers.get_mut(&order.worker).expect("known worker");
-            if worker.fencing_token > fencing_token {
-                return Ok(StartReply::Fenced);
-            }
-            worker.fencing_token = fencing_token;
-            worker.running.insert(task.clone(), (order.run, monotonic_ms()));
-            state.start_workers.push((task.clone(), order.worker.clone()));
-            state.starts.push((task, order.run));
-            Ok(StartReply::Running)
-        })
-    }
-
-    fn stop<'a>(
-        &'a self,
-        worker: &'a str,
-        _: &'a str,
-        (task, _): (&'a str, u32),
-        fencing_token: u64,
-    ) -> Call<'a, bool> {
-        Box::pin(async move {
-            let mut state = self.platform.state.lock();
-            let worker = state.workers.get_mut(worker).expect("known worker");
-            worker.running.remove(task);
-            Ok(worker.fencing_token <= fencing_token)
-        })
-    }
-
-    fn throttle<'a>(&'a self, _: &'a str, _: &'a str, _: (&'a str, u32), _: u32, _: u64) -> Call<'a, ()> {
-        Box::pin(async move { Ok(()) })
-    }
-
-    fn poll<'a>(&'a self, poll: Poll<'a>) -> Call<'a, PollReply> {
-        Box::pin(async move {
-            let end = monotonic_ms() + poll.wait_ms;
-            loop {
-                let now = monotonic_ms();
-                {
-                    let mut state = self.platform.state.lock();
-                    let worker = state.workers.get_mut(poll.worker).expect("known worker");
-                    if worker.fencing_token > poll.fencing_token {
-                        return Ok(PollReply::Fenced);
-                    }
-                    worker.fencing_token = poll.fencing_token;
-                    worker.ended.retain(|e| e.sequence > poll.acked);
-                    worker.end_runs(now);
-                    if now >= end || !worker.ended.is_empty() {
-                        return Ok(PollReply::Report(report(worker, now)));
-                    }
-                }
-                tokio::time::sleep(Duration::from_millis(10)).await;
-            }
-        })
-    }
-}
-
-impl Machines for PlatformClient {
-    fn list(&self) -> Call<'_, Vec<Machine>> {
-        Box::pin(async move {
-            let state = self.platform.state.lock();
-            Ok(state.spare_machines.iter().map(|name| spare_machine(name)).collect())
-        })
-    }
-
-    fn move_to_pool<'a>(
-        &'a self,
-        machine: &'a str,
-        pool: &'a str,
-        _: &'a str,
-        _: u64,
-    ) -> Call<'a, OrderReply> {
-        Box::pin(async move {
-            self.platform.state.lock().moves.push((machine.to_owned(), pool.to_owned()));
-            Ok(OrderReply::Done)
-        })
-    }
-
-    fn start_maintenance<'a>(&'a self, _: &'a str, _: u64, _: &'a str, _: u64) -> Call<'a, OrderReply> {
-        Box::pin(async move { Ok(OrderReply::NotReady) })
-    }
-}
-
-fn report(worker: &Worker, now: u64) -> WorkerReport {
-    let row = |(name, (run, at)): (&String, &(u32, u64))| RunStatus {
-        task_id: TaskId::parse(name).expect("task id"),
-        run: *run,
-        checkpoint: String::new(),
-        progress_percent: u32::try_from((now - at) * 100 / TASK_MS).unwrap_or(99).min(99),
-        metric: 0,
-    };
-    WorkerReport {
-        incarnation: 1,
-        clock: now,
-        running: worker.running.iter().map(row).collect(),
-        ended: worker.ended.clone(),
-        more_ends: false,
-    }
-}
-
-fn spare_machine(name: &str) -> Machine {
-    Machine {
-        name: name.into(),
-        state: MachineState::Up,
-        pool: SPARE_POOL.into(),
-        zone: "z1".into(),
-        worker: String::new(),
-        cpu: 4_000,
-    }
-}
-
-fn info(id: &str, worker: &Worker) -> WorkerInfo {
-    WorkerInfo {
-        id: id.into(),
-        addr: "127.0.0.1:1".into(),
-        service: worker.service.unwrap_or("quotes").into(),
-        zone: "z1".into(),
-        labels: Vec::new(),
-        capacity: Resources { cpu: 4_000, mem: 4_000, gpu: 0 },
-        ready: true,
-    }
-}
-
 pub fn config(version: u64) -> Configuration {
     Configuration {
         version,
