Restarts of workers and the ends of leases are logged

The lines could not tell a lease that ends later than reckoned from a start that arrives after a restart. An owner now logs each restart of a worker with the clocks of both incarnations and the number of unanswered starts, and each start with the end of its lease.

--- a/components/relay/src/owner/actions.rs
+++ b/components/relay/src/owner/actions.rs
@@ -68,6 +68,7 @@
                 task = %order.task_id,
                 run = order.run,
                 worker = %order.worker,
+                lease_until = order.lease_until,
                 ?reply,
                 "owner: start"
             );
--- a/components/shard/src/report.rs
+++ b/components/shard/src/report.rs
@@ -84,6 +84,7 @@
             worker.incarnation != 0 && worker.incarnation != report.incarnation
         };
         if restarted {
+            self.log_restart(key, report);
             self.drop_lost_runs(key, "worker restarted");
         }
         let now = self.now;
@@ -106,6 +107,22 @@
         worker.poll_at = now;
     }
 
+    /// Logs a restart with the clocks of both incarnations, and the runs whose starts have not been answered.
+    fn log_restart(&self, key: WorkerKey, report: &WorkerReport) {
+        let worker = &self.workers[key];
+        let unanswered = |r: &&Run| matches!(r.phase, RunPhase::Sent | RunPhase::Unconfirmed(_));
+        tracing::info!(
+            worker = %worker.info.id,
+            incarnation = report.incarnation,
+            clock = report.clock,
+            earlier_incarnation = worker.incarnation,
+            earlier_clock = worker.estimated_clock(self.now),
+            runs = worker.runs.len(),
+            unanswered = worker.runs.values().filter(unanswered).count(),
+            "shard: worker restarted"
+        );
+    }
+
     /// Compares the runs that a worker reports with those in its table. Runs that are missing are lost, unless their
     /// ends may follow.
     fn reconcile(&mut self, key: WorkerKey, sent: Ms, report: &WorkerReport) {
