An unanswered start is kept when its worker restarts, until it is barred there

An owner dropped all runs of a worker that had restarted and started their tasks elsewhere, also those whose start requests were on their way; the next incarnation has the same id and carries them out.

Now the report of the new incarnation decides, as that of a worker does which has not restarted: runs that had been confirmed before the poll was sent are lost, unanswered ones are stopped first, which bars them there. Runs whose starts are not sent yet are dropped.

--- a/components/shard/src/report.rs
+++ b/components/shard/src/report.rs
@@ -85,7 +85,9 @@
         };
         if restarted {
             self.log_restart(key, report);
-            self.drop_lost_runs(key, "worker restarted");
+            self.drop_planned_at(key);
+            // A later owner must not wait for the runs of the earlier incarnation.
+            self.dirty_workers.insert(key);
         }
         let now = self.now;
         let worker = &mut self.workers[key];
@@ -123,8 +125,17 @@
         );
     }
 
+    /// Drops the runs of a worker whose start requests have not been sent.
+    fn drop_planned_at(&mut self, key: WorkerKey) {
+        let planned = self.workers[key].runs.iter().filter(|(_, r)| r.phase == RunPhase::Planned);
+        let tasks: Vec<TaskRef> = planned.map(|(task, _)| *task).collect();
+        for task in tasks {
+            self.drop_unstarted_run(key, task);
+        }
+    }
+
     /// Compares the runs that a worker reports with those in its table. Runs that are missing are lost, unless their
-    /// ends may follow.
+    /// ends may follow, or their starts may still reach the worker: a restarted one, too.
     fn reconcile(&mut self, key: WorkerKey, sent: Ms, report: &WorkerReport) {
         let now = self.now;
         let mut reported: HashMap<TaskRef, u32> = HashMap::new();
