Leases that calls for an earlier incarnation granted are waited out

A start or poll that was sent before the owner knew of a worker's restart names the end of the lease on the earlier incarnation's clock. The next one, whose clock starts anew, takes it as a time that may be minutes away and grants the platform's longest lease, 10 s. The owner reckoned with the 5.6 s that its own calls ask for, and started the tasks elsewhere while the first runs went on. A run of 7.05 to 16.18 s had a second one at 12.79 s; the incarnation had taken a start with lease_until=3743134 at clock 1,516,200.

An owner now takes the leases of an incarnation that it has just met to last for the platform's longest lease, and counts its own from there. It records the rest with the worker's runs, so that the next owner, which may not reach the worker, waits as long. Leases of adopted runs on a worker that is lost before it gets a lease of ours now expire too.

Five tests lost a worker, or compared its records, within a second of the owner's first contact with it, when such leases can still be in force. They begin 10 s later now (Fleet::known); their checks and bounds are the same.

--- a/components/capacity/tests/turns/player.rs
+++ b/components/capacity/tests/turns/player.rs
@@ -27,6 +27,7 @@
 const WALL_START_MS: u64 = 1_000_000_000;
 const TIMING: Timing = Timing {
     lease: 5_000,
+    lease_limit: 10_000,
     overlap: 1_500,
     poll_wait: 1_000,
     request_timeout: 500,
--- a/components/relay/tests/daemons/main.rs
+++ b/components/relay/tests/daemons/main.rs
@@ -23,6 +23,7 @@
 
 const TIMING: Timing = Timing {
     lease: 5_000,
+    lease_limit: 10_000,
     overlap: 1_500,
     poll_wait: 200,
     request_timeout: 500,
--- a/components/shard/benches/step.rs
+++ b/components/shard/benches/step.rs
@@ -10,6 +10,7 @@
 
 const TIMING: Timing = Timing {
     lease: 5_000,
+    lease_limit: 10_000,
     overlap: 1_500,
     poll_wait: 1_000,
     request_timeout: 500,
--- a/components/shard/src/batch.rs
+++ b/components/shard/src/batch.rs
@@ -7,7 +7,7 @@
 use crate::Ms;
 use crate::io::Action;
 use crate::job::{JobKey, TaskRef};
-use crate::record::{self, Record, RunRecord};
+use crate::record::{self, Record, RunRecord, WorkerRecord};
 use crate::state::Shard;
 use crate::worker::{RunPhase, WorkerKey};
 
@@ -138,7 +138,14 @@
             let lease_left = if runs.is_empty() { 0 } else { worker.lease_left(self.now) };
             batch.workers.push((key, lease_left > 0));
             if !runs.is_empty() || worker.recorded {
-                records.push(record::worker(&worker.info.id, &worker.info.addr, runs, lease_left));
+                let stray_lease_left = worker.stray_lease_end.saturating_sub(self.now);
+                records.push(record::worker(&WorkerRecord {
+                    id: worker.info.id.clone(),
+                    addr: worker.info.addr.clone(),
+                    runs,
+                    lease_left,
+                    stray_lease_left,
+                }));
                 let worker = &mut self.workers[key];
                 worker.recorded = !worker.runs.is_empty();
                 worker.lease_noted |= lease_left > 0;
--- a/components/shard/src/health.rs
+++ b/components/shard/src/health.rs
@@ -67,7 +67,7 @@
     pub(crate) fn expire_leases(&mut self) {
         let expired = self.workers.iter().filter(|(_, w)| {
             let silent = w.reachability != Reachability::Reachable || w.polling;
-            !w.runs.is_empty() && silent && w.lease_end != 0 && self.now >= w.lease_end
+            !w.runs.is_empty() && silent && w.leases_end() != 0 && self.now >= w.leases_end()
         });
         let keys: Vec<WorkerKey> = expired.map(|(key, _)| key).collect();
         for key in keys {
--- a/components/shard/src/io.rs
+++ b/components/shard/src/io.rs
@@ -13,6 +13,8 @@
 pub struct Timing {
     /// Lease that each poll and each start grants.
     pub lease: Ms,
+    /// Longest lease that a worker takes, whatever a request asks for.
+    pub lease_limit: Ms,
     /// Longest time that an earlier owner may keep renewing leases after this one took over.
     pub overlap: Ms,
     /// Longest time that a poll waits for a run to end.
@@ -33,6 +35,12 @@
     pub const fn max_lease(&self) -> Ms {
         self.lease + self.lease / 50 + self.request_timeout
     }
+
+    /// Longest time from now on that a worker can hold a lease which an earlier request granted.
+    #[must_use]
+    pub const fn longest_lease(&self) -> Ms {
+        self.lease_limit + self.lease_limit / 50
+    }
 }
 
 /// Answer of a worker to a start request.
--- a/components/shard/src/record.rs
+++ b/components/shard/src/record.rs
@@ -37,6 +37,10 @@
     /// if unknown. An owner that writes it grants no lease there before it has written 0.
     #[prost(uint64, tag = "4")]
     pub lease_left: u64,
+    /// Milliseconds after which the leases granted by calls for earlier incarnations or of earlier owners have
+    /// expired, counted from when this was written.
+    #[prost(uint64, tag = "5")]
+    pub stray_lease_left: u64,
 }
 
 /// A run that may be on a worker.
@@ -213,8 +217,7 @@
 }
 
 /// Records the runs of a worker; the record is deleted once there are none.
-pub(crate) fn worker(id: &str, addr: &str, runs: Vec<RunRecord>, lease_left: u64) -> Record {
-    let record = WorkerRecord { id: id.to_owned(), addr: addr.to_owned(), runs, lease_left };
+pub(crate) fn worker(record: &WorkerRecord) -> Record {
     let value = (!record.runs.is_empty()).then(|| record.encode_to_vec());
-    Record { key: format!("{WORKER_PREFIX}{id}"), value }
+    Record { key: format!("{WORKER_PREFIX}{}", record.id), value }
 }
--- a/components/shard/src/recovery.rs
+++ b/components/shard/src/recovery.rs
@@ -58,7 +58,8 @@
         let mut worker = Worker::new(info, self.now);
         worker.recorded = true;
         worker.listed = false;
-        worker.lease_end = self.now + self.timing.overlap + self.timing.max_lease();
+        let last_grant = self.timing.overlap + self.timing.max_lease();
+        worker.lease_end = self.now + last_grant.max(record.stray_lease_left);
         if record.lease_left > 0 {
             worker.lease_noted = true;
             worker.lease_end = worker.lease_end.min(self.now + record.lease_left);
--- a/components/shard/src/report.rs
+++ b/components/shard/src/report.rs
@@ -89,13 +89,14 @@
             // A later owner must not wait for the runs of the earlier incarnation.
             self.dirty_workers.insert(key);
         }
-        let now = self.now;
+        let (now, longest_lease) = (self.now, self.timing.longest_lease());
         let worker = &mut self.workers[key];
         if restarted || worker.incarnation == 0 {
             worker.incarnation = report.incarnation;
             worker.ends_seen = 0;
             worker.ends_stored = 0;
             worker.lease_end = 0;
+            worker.stray_lease_end = now + longest_lease;
         }
         worker.reachability = Reachability::Reachable;
         worker.first_contact.get_or_insert(now);
--- a/components/shard/src/worker.rs
+++ b/components/shard/src/worker.rs
@@ -145,8 +145,12 @@
     pub ends_stored: u64,
     /// Last reading of its clock, and when it was received.
     pub clock: Option<(u64, Ms)>,
-    /// When the leases of all its runs have expired unless it is reached again; 0 if it holds none.
+    /// When the leases have expired that this owner granted this incarnation, unless it is reached again; 0 if it
+    /// granted none.
     pub lease_end: Ms,
+    /// When the leases have expired that other calls may have granted this incarnation: those of earlier owners, and
+    /// those for an earlier incarnation, whose clock may be far ahead. 0 if unknown.
+    pub stray_lease_end: Ms,
     /// The log may hold the rest of its leases, so none may be granted until the log has stored another
     /// record.
     pub lease_noted: bool,
@@ -192,6 +196,7 @@
             ends_stored: 0,
             clock: None,
             lease_end: 0,
+            stray_lease_end: 0,
             lease_noted: false,
             lease_noted_at: now,
             used: Resources::default(),
@@ -237,9 +242,14 @@
             && now >= self.backoff_until
     }
 
+    /// When all its leases have expired unless it is reached again; 0 if it holds none.
+    pub fn leases_end(&self) -> Ms {
+        self.lease_end.max(self.stray_lease_end)
+    }
+
     /// Milliseconds until the leases of a silent worker have expired; 0 if it answers or holds none.
     pub fn lease_left(&self, now: Ms) -> Ms {
-        if self.reachability == Reachability::Reachable { 0 } else { self.lease_end.saturating_sub(now) }
+        if self.reachability == Reachability::Reachable { 0 } else { self.leases_end().saturating_sub(now) }
     }
 
     /// When it last answered a poll; 0 if it has answered none since it was last lost.
--- a/components/shard/tests/fleet/failures.rs
+++ b/components/shard/tests/fleet/failures.rs
@@ -43,7 +43,7 @@
 
 #[gtest]
 fn a_task_on_an_unreachable_worker_restarts_only_after_the_lease_expires() {
-    let mut fleet = Fleet::new(2, 1_000);
+    let mut fleet = Fleet::known(2, 1_000);
     fleet.work_ms = 60_000;
     fleet.submit(job("a", vec![step(1, 1_000)]));
     fleet.advance(300);
@@ -57,7 +57,7 @@
 
 #[gtest]
 fn a_new_owner_waits_for_leases_on_an_unreachable_worker_that_may_have_runs() {
-    let mut fleet = Fleet::new(2, 1_000);
+    let mut fleet = Fleet::known(2, 1_000);
     fleet.work_ms = 60_000;
     fleet.submit(job("a", vec![step(1, 1_000)]));
     fleet.advance(300);
@@ -108,7 +108,7 @@
 
 #[gtest]
 fn a_long_running_task_restarts_after_its_worker_is_lost() {
-    let mut fleet = Fleet::new(3, 4_000);
+    let mut fleet = Fleet::known(3, 4_000);
     fleet.submit(long_running("a", 2, 1_000));
     fleet.advance(500);
     let lost = fleet.start_requests[0].worker.clone();
@@ -254,7 +254,7 @@
 
 #[gtest]
 fn tasks_of_a_lost_worker_restart_although_the_owner_changes_again_and_again() {
-    let mut fleet = Fleet::new(3, 4_000);
+    let mut fleet = Fleet::known(3, 4_000);
     fleet.submit(long_running("a", 2, 1_000));
     fleet.advance(1_000);
     let lost = fleet.start_requests[0].worker.clone();
--- a/components/shard/tests/fleet/slow_log.rs
+++ b/components/shard/tests/fleet/slow_log.rs
@@ -175,7 +175,7 @@
 /// Guards against a refused job's runs that take those of a stored job, recorded with the same worker, with them.
 #[gtest]
 fn a_batch_that_is_not_stored_keeps_the_runs_of_stored_jobs() {
-    let mut fleet = Fleet::new(1, 4_000);
+    let mut fleet = Fleet::known(1, 4_000);
     fleet.work_ms = 1_500;
     fleet.submit(job("running", vec![step(2, 1_000)]));
     fleet.advance(500);
--- a/components/shard/tests/fleet/support.rs
+++ b/components/shard/tests/fleet/support.rs
@@ -17,6 +17,7 @@
 
 pub const TIMING: Timing = Timing {
     lease: 5_000,
+    lease_limit: 10_000,
     overlap: 1_500,
     poll_wait: 1_000,
     request_timeout: 500,
@@ -132,6 +133,13 @@
         fleet
     }
 
+    /// A fleet whose owner has known its workers for longer than any lease: none is left of earlier owners.
+    pub fn known(workers: usize, cpu: u64) -> Self {
+        let mut fleet = Self::new(workers, cpu);
+        fleet.advance(TIMING.longest_lease() + TICK_MS);
+        fleet
+    }
+
     pub fn send_worker_list(&mut self) {
         let list = self.listed.clone();
         self.apply(Input::Workers(list));
--- a/components/shard/tests/overload/player.rs
+++ b/components/shard/tests/overload/player.rs
@@ -24,6 +24,7 @@
 const ESTIMATE_ERROR: f64 = 2.0;
 const TIMING: Timing = Timing {
     lease: 5_000,
+    lease_limit: 10_000,
     overlap: 1_500,
     poll_wait: 1_000,
     request_timeout: 500,
