Calls for a worker's earlier incarnation are barred at the next one

A worker that starts again under its id takes calls that were meant for its former life; the header that names the expected instance cannot tell them apart. Such a call may arrive seconds later, when the owner has met the new incarnation and started runs there: a late poll then grants 10 s by the earlier clock, which the owner does not know of, or acknowledges ends that nobody has seen; a late start begins a run.

An owner now raises its fencing token for a worker that has restarted, by one, and starts nothing there until a poll under the new token has been answered. The incarnation refuses lower tokens from then on, so no call that was sent before acts on it, and the leases that such calls have granted end 10.2 s after that answer at the latest. A start that comes back as fenced under a lower token has not run; it is no sign of another owner. The tokens are those between the owner's epoch and the next generation's, so owners of older versions that take over have higher ones; a daemon counts them as used, so its own next epoch is above them. A worker that restarts more often than there are tokens gets no starts from this owner.

--- a/components/relay/src/node/ownership.rs
+++ b/components/relay/src/node/ownership.rs
@@ -95,6 +95,12 @@
         epoch
     }
 
+    /// Takes the epochs up to `last`, which an owner's calls to restarted workers have as fencing tokens.
+    pub(crate) fn use_epochs(&self, last: u64) {
+        let mut used = self.last_epoch.lock();
+        *used = last.max(*used);
+    }
+
     fn owner_context(self: &Arc<Self>) -> Context {
         Context {
             node: Arc::clone(self),
--- a/components/relay/src/owner.rs
+++ b/components/relay/src/owner.rs
@@ -117,6 +117,7 @@
     let records = partition::take_over(&*context.store, partition, epoch, is_assigned).await?;
     let mut shard = Shard::new(context.timing, epoch, monotonic_ms(), wall_ms());
     shard.limit_large_jobs(context.node.large_job_bytes());
+    shard.limit_tokens((epoch / EPOCHS_PER_GENERATION + 1) * EPOCHS_PER_GENERATION - 1);
     shard.load(records.iter().map(|(k, v)| (k.as_str(), v.as_slice())));
     tracing::info!(part = partition, epoch, records = records.len(), "owner: shard loaded");
     Some(shard)
@@ -225,6 +226,7 @@
         let may_start =
             self.context.membership.borrow().valid_at(now) && self.context.worker_list.borrow().is_some();
         let actions = self.shard.step(now, wall_ms(), may_start);
+        self.context.node.use_epochs(self.shard.last_token());
         for action in actions {
             if action == Action::OwnershipLost {
                 return false;
--- a/components/relay/src/owner/actions.rs
+++ b/components/relay/src/owner/actions.rs
@@ -34,12 +34,12 @@
             }
             Action::Unknown(request_id) => self.answer(request_id, Reply::of(ReplyKind::NotFound)),
             Action::Start(order) => self.start(order),
-            Action::Stop { worker, addr, task_id, run, cause } => {
+            Action::Stop { worker, addr, task_id, run, cause, token } => {
                 tracing::info!(%worker, task = %task_id, run, why = ?cause, "owner: stop");
-                self.stop(worker, addr, task_id, run);
+                self.stop((worker, addr), (task_id, run), token);
             }
-            Action::Throttle { worker, addr, task_id, run, percent } => {
-                let (workers, token) = (Arc::clone(&self.context.workers), self.shard.epoch());
+            Action::Throttle { worker, addr, task_id, run, percent, token } => {
+                let workers = Arc::clone(&self.context.workers);
                 tokio::spawn(async move {
                     let task = task_id.to_string();
                     if let Err(error) = workers.throttle(&worker, &addr, (&task, run), percent, token).await {
@@ -47,18 +47,17 @@
                     }
                 });
             }
-            Action::Poll { worker, addr, lease_until, acked, wait } => {
-                self.poll(worker, addr, lease_until, acked, wait);
+            Action::Poll { worker, addr, lease_until, acked, wait, token } => {
+                self.poll((worker, addr), lease_until, (acked, wait), token);
             }
             Action::OwnershipLost => {}
         }
     }
 
     fn start(&self, order: shard::StartRequest) {
-        let (workers, token, messages) =
-            (Arc::clone(&self.context.workers), self.shard.epoch(), self.messages.clone());
+        let (workers, messages) = (Arc::clone(&self.context.workers), self.messages.clone());
         tokio::spawn(async move {
-            let reply = match workers.start(&order, token).await {
+            let reply = match workers.start(&order).await {
                 Ok(reply) => reply,
                 Err(fault) if fault.verdict == Verdict::NotRun => StartReply::NotSent,
                 Err(_) => StartReply::NoAnswer,
@@ -78,24 +77,26 @@
         });
     }
 
-    fn stop(&self, worker: String, addr: String, task_id: shard::TaskId, run: u32) {
-        let (workers, token, messages) =
-            (Arc::clone(&self.context.workers), self.shard.epoch(), self.messages.clone());
+    fn stop(&self, (worker, addr): (String, String), (task_id, run): (shard::TaskId, u32), token: u64) {
+        let (workers, messages) = (Arc::clone(&self.context.workers), self.messages.clone());
         tokio::spawn(async move {
             let task = task_id.to_string();
             match workers.stop(&worker, &addr, (&task, run), token).await {
                 Ok(true) => send(&messages, Input::StopConfirmed { worker, task_id, run }).await,
-                Ok(false) => {
-                    send(&messages, Input::PollFailed { worker, replaced: false, fenced: true }).await;
-                }
+                Ok(false) => send(&messages, Input::StopFenced { worker, token }).await,
                 Err(error) => tracing::info!(%worker, %task, run, %error, "owner: stop not answered"),
             }
         });
     }
 
-    fn poll(&self, worker: String, addr: String, lease_until: Option<u64>, acked: u64, wait_ms: u64) {
-        let (workers, token, messages) =
-            (Arc::clone(&self.context.workers), self.shard.epoch(), self.messages.clone());
+    fn poll(
+        &self,
+        (worker, addr): (String, String),
+        lease_until: Option<u64>,
+        (acked, wait_ms): (u64, u64),
+        token: u64,
+    ) {
+        let (workers, messages) = (Arc::clone(&self.context.workers), self.messages.clone());
         tokio::spawn(async move {
             let sent = monotonic_ms();
             let poll =
--- a/components/relay/src/platform.rs
+++ b/components/relay/src/platform.rs
@@ -107,7 +107,7 @@
 /// The workers, which run tasks.
 pub trait Workers: Send + Sync + std::fmt::Debug {
     /// Starts a run.
-    fn start<'a>(&'a self, order: &'a StartRequest, fencing_token: u64) -> Call<'a, StartReply>;
+    fn start<'a>(&'a self, order: &'a StartRequest) -> Call<'a, StartReply>;
 
     /// Stops a run, or prevents it from starting; false if the worker has seen a higher fencing token.
     fn stop<'a>(
@@ -139,7 +139,7 @@
     pub worker: &'a str,
     /// Address of the worker.
     pub addr: &'a str,
-    /// Fencing token: the epoch of the shard's owner.
+    /// Fencing token.
     pub fencing_token: u64,
     /// New end of the lease on the worker's clock; `None` while that clock is unknown.
     pub lease_until: Option<u64>,
--- a/components/relay/tests/daemons/platform/workers.rs
+++ b/components/relay/tests/daemons/platform/workers.rs
@@ -17,7 +17,9 @@
 pub struct Worker {
     /// Service, unless it is that of the tests' queue.
     pub service: Option<&'static str>,
-    /// Highest fencing token seen.
+    /// Number of its restarts.
+    pub restarts: u64,
+    /// Highest fencing token seen by this incarnation.
     pub fencing_token: u64,
     /// Run number and start time by task.
     pub running: BTreeMap<String, (u32, u64)>,
@@ -27,6 +29,11 @@
 }
 
 impl Worker {
+    /// Restarts it under its id.
+    pub fn restart(&mut self) {
+        *self = Self { service: self.service, restarts: self.restarts + 1, ..Self::default() };
+    }
+
     /// Ends the runs whose time is over.
     fn end_runs(&mut self, now: u64) {
         let due: Vec<String> =
@@ -47,15 +54,15 @@
 }
 
 impl Workers for PlatformClient {
-    fn start<'a>(&'a self, order: &'a StartRequest, fencing_token: u64) -> Call<'a, StartReply> {
+    fn start<'a>(&'a self, order: &'a StartRequest) -> Call<'a, StartReply> {
         Box::pin(async move {
             let mut state = self.platform.state.lock();
             let task = order.task_id.to_string();
             let worker = state.workers.get_mut(&order.worker).expect("known worker");
-            if worker.fencing_token > fencing_token {
+            if worker.fencing_token > order.token {
                 return Ok(StartReply::Fenced);
             }
-            worker.fencing_token = fencing_token;
+            worker.fencing_token = order.token;
             worker.running.insert(task.clone(), (order.run, monotonic_ms()));
             state.start_workers.push((task.clone(), order.worker.clone()));
             state.starts.push((task, order.run));
@@ -141,7 +148,7 @@
         metric: 0,
     };
     WorkerReport {
-        incarnation: 1,
+        incarnation: 1 + worker.restarts,
         clock: now,
         running: worker.running.iter().map(row).collect(),
         ended: worker.ended.clone(),
--- a/components/shard/src/admission.rs
+++ b/components/shard/src/admission.rs
@@ -222,7 +222,8 @@
 
     pub(crate) fn add_worker(&mut self, info: WorkerInfo) -> WorkerKey {
         tracing::info!(worker = %info.id, service = %info.service, zone = %info.zone, "shard: worker added");
-        self.workers.insert(Worker::new(info, self.now))
+        // No lower than any that it has seen, should it have been here before.
+        self.workers.insert(Worker::new(info, self.tokens.last, self.now))
     }
 
     /// Drops a worker that another shard commands. An earlier version may have recorded runs there.
--- a/components/shard/src/cancel.rs
+++ b/components/shard/src/cancel.rs
@@ -57,6 +57,7 @@
                 task_id,
                 run: run.number,
                 cause,
+                token: worker.token,
             });
         }
         self.stop_unknown_runs();
@@ -84,6 +85,7 @@
                     task_id,
                     run,
                     cause: StopCause::Stranger,
+                    token: worker.token,
                 });
                 // The next poll reports the run again if it is still there.
                 worker.backoff_until = worker.backoff_until.max(self.now + self.timing.stop_interval);
--- a/components/shard/src/io.rs
+++ b/components/shard/src/io.rs
@@ -161,6 +161,13 @@
         /// The answer.
         reply: StartReply,
     },
+    /// A worker has seen a higher fencing token than that of a stop request.
+    StopFenced {
+        /// Worker's id.
+        worker: String,
+        /// Fencing token of the request.
+        token: u64,
+    },
     /// A worker confirmed a stop.
     StopConfirmed {
         /// Worker's id.
@@ -238,6 +245,8 @@
         run: u32,
         /// Cause, for the logs.
         cause: StopCause,
+        /// Fencing token.
+        token: u64,
     },
     /// Set the speed of a best-effort run.
     Throttle {
@@ -251,6 +260,8 @@
         run: u32,
         /// Speed in percent of full speed.
         percent: u32,
+        /// Fencing token.
+        token: u64,
     },
     /// Poll a worker: renew its lease, acknowledge ends and fetch its runs.
     Poll {
@@ -264,6 +275,8 @@
         acked: u64,
         /// Longest time to wait for a run to end.
         wait: Ms,
+        /// Fencing token.
+        token: u64,
     },
     /// Stop: another owner has taken over.
     OwnershipLost,
@@ -286,4 +299,6 @@
     pub checkpoint: String,
     /// End of the lease on the worker's clock.
     pub lease_until: u64,
+    /// Fencing token.
+    pub token: u64,
 }
--- a/components/shard/src/placement.rs
+++ b/components/shard/src/placement.rs
@@ -5,7 +5,7 @@
 use crate::job::{StepRef, TaskRef, TaskState};
 use crate::model::{Resources, StepSpec, Verdict};
 use crate::state::{QuotaShortage, Shard};
-use crate::worker::{Reachability, Run, RunPhase, WorkerKey};
+use crate::worker::{Fence, Reachability, Run, RunPhase, WorkerKey};
 
 /// Run numbers set aside for each epoch: an owner starts numbering at the distance between its epoch and the
 /// job's, times this, so that its runs come after those of earlier owners.
@@ -418,13 +418,16 @@
             || worker.cordoned(now)
             || !worker.info.ready
             || worker.reachability != Reachability::Reachable
+            || worker.fence != Fence::Up
             || worker.lease_noted
         {
             return None;
         }
         let lease_until = worker.estimated_clock(now)? + self.timing.lease;
         worker.lease_end = now + self.timing.max_lease();
-        worker.runs.get_mut(task)?.phase = RunPhase::Sent;
+        let run = worker.runs.get_mut(task)?;
+        run.phase = RunPhase::Sent;
+        run.token = worker.token;
         job.started = true;
         Some(StartRequest {
             worker: worker.info.id.clone(),
@@ -434,6 +437,7 @@
             payload,
             checkpoint,
             lease_until,
+            token: worker.token,
         })
     }
 }
--- a/components/shard/src/recovery.rs
+++ b/components/shard/src/recovery.rs
@@ -55,7 +55,7 @@
             capacity: crate::Resources::default(),
             ready: false,
         };
-        let mut worker = Worker::new(info, self.now);
+        let mut worker = Worker::new(info, self.epoch, self.now);
         worker.recorded = true;
         worker.listed = false;
         let last_grant = self.timing.overlap + self.timing.max_lease();
--- a/components/shard/src/report.rs
+++ b/components/shard/src/report.rs
@@ -7,7 +7,7 @@
 use crate::job::{TaskRef, TaskState};
 use crate::model::TaskId;
 use crate::state::Shard;
-use crate::worker::{Reachability, Run, RunPhase, StopCause, WorkerKey};
+use crate::worker::{Fence, Reachability, Run, RunPhase, StopCause, WorkerKey};
 
 /// How a run ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -86,16 +86,24 @@
         if restarted {
             self.log_restart(key, report);
             self.drop_planned_at(key);
+            self.raise_token(key);
             // A later owner must not wait for the runs of the earlier incarnation.
             self.dirty_workers.insert(key);
         }
         let (now, longest_lease) = (self.now, self.timing.longest_lease());
         let worker = &mut self.workers[key];
-        if restarted || worker.incarnation == 0 {
+        let met = restarted || worker.incarnation == 0;
+        if met {
             worker.incarnation = report.incarnation;
             worker.ends_seen = 0;
             worker.ends_stored = 0;
             worker.lease_end = 0;
+        }
+        let fenced = !restarted && worker.fence == Fence::Raised;
+        if fenced {
+            worker.fence = Fence::Up;
+        }
+        if met || fenced {
             worker.stray_lease_end = now + longest_lease;
         }
         worker.reachability = Reachability::Reachable;
@@ -126,6 +134,20 @@
         );
     }
 
+    /// Raises the fencing token of a worker that has restarted, so that calls for its earlier incarnation are refused
+    /// from the first call under the new token on.
+    fn raise_token(&mut self, key: WorkerKey) {
+        let worker = &mut self.workers[key];
+        if worker.token < self.tokens.limit {
+            worker.token += 1;
+            worker.fence = Fence::Raised;
+            self.tokens.last = self.tokens.last.max(worker.token);
+        } else {
+            worker.fence = Fence::Missing;
+            tracing::warn!(worker = %worker.info.id, token = worker.token, "shard: worker gets no starts from this owner, it restarted too often");
+        }
+    }
+
     /// Drops the runs of a worker whose start requests have not been sent.
     fn drop_planned_at(&mut self, key: WorkerKey) {
         let planned = self.workers[key].runs.iter().filter(|(_, r)| r.phase == RunPhase::Planned);
@@ -263,6 +285,7 @@
         let step = job.spec.steps.get(task.step_ref.step as usize)?;
         Some(Run {
             number,
+            token: 0,
             phase: RunPhase::Sent,
             planned_at: self.now,
             reserved: step.reservation(),
@@ -307,7 +330,9 @@
     pub(crate) fn start_answered(&mut self, id: &str, task_id: &TaskId, number: u32, reply: StartReply) {
         let (Some(key), Some(task)) = (self.worker_key(id), self.task_ref(task_id)) else { return };
         let now = self.now;
-        let Some(run) = self.workers[key].runs.get_mut(&task).filter(|r| r.number == number) else {
+        let worker = &mut self.workers[key];
+        let token = worker.token;
+        let Some(run) = worker.runs.get_mut(&task).filter(|r| r.number == number) else {
             return;
         };
         match reply {
@@ -322,17 +347,30 @@
                     run.phase = RunPhase::Unconfirmed(now);
                 }
             }
-            StartReply::Fenced => self.fenced = true,
-            StartReply::Refused | StartReply::Unwell | StartReply::OtherLife | StartReply::NotSent => {
+            StartReply::Fenced if run.token == token => self.fenced = true,
+            StartReply::Fenced
+            | StartReply::Refused
+            | StartReply::Unwell
+            | StartReply::OtherLife
+            | StartReply::NotSent => {
                 // A poll may have confirmed the run meanwhile; the poll takes precedence.
                 if matches!(run.phase, RunPhase::Sent | RunPhase::Stopping) {
                     self.drop_unstarted_run(key, task);
                 }
-                self.back_off(key, reply);
+                // A start that was sent for an earlier incarnation says nothing of this one.
+                if reply != StartReply::Fenced {
+                    self.back_off(key, reply);
+                }
             }
         }
     }
 
+    pub(crate) fn stop_fenced(&mut self, id: &str, token: u64) {
+        // A stop that was sent for an earlier incarnation is sent again.
+        let lost = self.worker_key(id).is_some_and(|key| self.workers[key].token == token);
+        self.fenced |= lost;
+    }
+
     pub(crate) fn stop_confirmed(&mut self, id: &str, task_id: &TaskId, number: u32) {
         let (Some(key), Some(task)) = (self.worker_key(id), self.task_ref(task_id)) else { return };
         let now = self.now;
--- a/components/shard/src/state.rs
+++ b/components/shard/src/state.rs
@@ -15,7 +15,7 @@
 use crate::record::Record;
 use crate::referral::Referrals;
 use crate::second_run::CopyOutcome;
-use crate::worker::{Reachability, WorkerKey};
+use crate::worker::{Fence, Reachability, WorkerKey};
 use crate::worker_table::WorkerTable;
 
 /// Waiting steps above which a shard is backlogged; more than the tasks that current pools run at once.
@@ -33,11 +33,21 @@
     pub least: Resources,
 }
 
+/// Fencing tokens of an owner. They begin with its epoch.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Tokens {
+    /// Highest one in use.
+    pub last: u64,
+    /// Highest one that may be used.
+    pub limit: u64,
+}
+
 /// State of one shard under one owner.
 #[derive(Debug)]
 pub struct Shard {
     pub(crate) timing: Timing,
     pub(crate) epoch: u64,
+    pub(crate) tokens: Tokens,
     pub(crate) now: Ms,
     /// Wall clock in milliseconds since the Unix epoch.
     pub(crate) wall_ms: u64,
@@ -100,6 +110,7 @@
         Self {
             timing,
             epoch,
+            tokens: Tokens { last: epoch, limit: u64::MAX },
             now,
             wall_ms,
             jobs: HashMap::new(),
@@ -146,12 +157,23 @@
         self.ready_steps.len() > BACKLOG_STEPS
     }
 
-    /// Owner's epoch, which is the fencing token of its requests.
+    /// Owner's epoch, which is the fencing token of its requests to workers that have not restarted.
     #[must_use]
     pub const fn epoch(&self) -> u64 {
         self.epoch
     }
 
+    /// Sets the highest fencing token that is below those of all later owners.
+    pub const fn limit_tokens(&mut self, limit: u64) {
+        self.tokens.limit = limit;
+    }
+
+    /// Highest fencing token of its requests.
+    #[must_use]
+    pub const fn last_token(&self) -> u64 {
+        self.tokens.last
+    }
+
     /// Applies one input. The actions that follow come from the next [`Self::step`].
     pub fn apply(&mut self, now: Ms, wall_ms: u64, input: Input) {
         self.now = self.now.max(now);
@@ -173,6 +195,7 @@
             Input::StartResult { worker, task_id, run, reply } => {
                 self.start_answered(&worker, &task_id, run, reply);
             }
+            Input::StopFenced { worker, token } => self.stop_fenced(&worker, token),
             Input::StopConfirmed { worker, task_id, run } => self.stop_confirmed(&worker, &task_id, run),
             Input::Stored => self.batch_stored(),
             Input::NotStored => self.batch_failed(),
@@ -233,7 +256,8 @@
             }
             let copies_allowed = worker.runs.values().any(|r| r.copies_allowed);
             let longest = if copies_allowed { COPY_POLL_MS } else { Ms::MAX };
-            let wait = if !known || pending { 0 } else { self.timing.poll_wait.min(longest) };
+            let confirming = worker.fence == Fence::Raised;
+            let wait = if !known || pending || confirming { 0 } else { self.timing.poll_wait.min(longest) };
             worker.poll_wait = wait;
             self.actions.push(Action::Poll {
                 worker: worker.info.id.clone(),
@@ -241,6 +265,7 @@
                 lease_until,
                 acked: worker.ends_stored,
                 wait,
+                token: worker.token,
             });
         }
     }
--- a/components/shard/src/throttle.rs
+++ b/components/shard/src/throttle.rs
@@ -51,8 +51,8 @@
         for (task, run, percent) in changes {
             let Some(task_id) = self.task_id(&task) else { continue };
             let worker = &self.workers[key];
-            let (id, addr) = (worker.info.id.clone(), worker.info.addr.clone());
-            self.actions.push(Action::Throttle { worker: id, addr, task_id, run, percent });
+            let (id, addr, token) = (worker.info.id.clone(), worker.info.addr.clone(), worker.token);
+            self.actions.push(Action::Throttle { worker: id, addr, task_id, run, percent, token });
         }
     }
 
--- a/components/shard/src/worker.rs
+++ b/components/shard/src/worker.rs
@@ -51,6 +51,8 @@
 #[derive(Debug)]
 pub(crate) struct Run {
     pub number: u32,
+    /// Fencing token of its start request; 0 if this owner sent none.
+    pub token: u64,
     pub phase: RunPhase,
     pub planned_at: Ms,
     /// Capacity that it reserves on the worker.
@@ -114,6 +116,17 @@
     }
 }
 
+/// Whether calls for an earlier incarnation of a worker can still act on the present one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Fence {
+    /// The present incarnation has seen the worker's token, which no such call has.
+    Up,
+    /// The token has been raised; the next answer to a poll confirms it.
+    Raised,
+    /// The owner has no higher token left.
+    Missing,
+}
+
 /// Whether a worker answers this owner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Reachability {
@@ -139,6 +152,9 @@
     pub first_contact: Option<Ms>,
     /// Start time of its incarnation, as it reports it; 0 if unknown.
     pub incarnation: u64,
+    /// Fencing token of the calls to it.
+    pub token: u64,
+    pub fence: Fence,
     /// Highest sequence number among the ends reported by this incarnation.
     pub ends_seen: u64,
     /// Highest sequence number among the ends whose effects are stored.
@@ -182,7 +198,7 @@
 }
 
 impl Worker {
-    pub fn new(info: WorkerInfo, now: Ms) -> Self {
+    pub fn new(info: WorkerInfo, token: u64, now: Ms) -> Self {
         let rack = rack_label(&info.labels);
         Self {
             info,
@@ -192,6 +208,8 @@
             reachability: Reachability::Unknown,
             first_contact: None,
             incarnation: 0,
+            token,
+            fence: Fence::Up,
             ends_seen: 0,
             ends_stored: 0,
             clock: None,
@@ -237,6 +255,7 @@
             && !self.removed
             && !self.cordoned(now)
             && self.reachability == Reachability::Reachable
+            && self.fence == Fence::Up
             && self.unknown_runs.is_empty()
             && self.clock.is_some()
             && now >= self.backoff_until
--- a/components/shard/tests/fleet/restarts.rs
+++ b/components/shard/tests/fleet/restarts.rs
@@ -2,7 +2,7 @@
 
 use crate::support::{Fleet, job, step};
 use googletest::prelude::*;
-use shard::Ms;
+use shard::{Input, Ms, StartReply};
 
 /// Time after which every lease has expired that a worker holds now.
 const LEASES_EXPIRED_MS: Ms = 11_000;
@@ -129,6 +129,65 @@
     expect_that!(starts(&fleet, "a"), eq(1));
 }
 
+/// Guards against an owner that takes a call for an earlier incarnation, refused at the next one, for the loss of its shard.
+#[gtest]
+fn a_late_call_that_the_next_incarnation_refuses_does_not_end_the_ownership() {
+    let mut fleet = fleet();
+    // Shortly before the poll ends that waits at the worker.
+    fleet.advance(600);
+    fleet.call_delay = Some(60_000);
+    fleet.submit(job("a", vec![step(1, 100)]));
+    fleet.advance(20);
+    fleet.call_delay = None;
+    fleet.crash("w0");
+    fleet.advance(200);
+    assert_eq!(fleet.workers["w0"].fencing_token, fleet.epoch + 1);
+    let sent = fleet.start_requests[0].clone();
+    let reply = StartReply::Fenced;
+    fleet.apply(Input::StartResult { worker: sent.worker, task_id: sent.task_id, run: sent.run, reply });
+    fleet.advance(2_000);
+    expect_that!(starts(&fleet, "a"), eq(2));
+}
+
+/// Guards against an owner that calls a worker which it has met before under a lower token, and so gives its shard up.
+#[gtest]
+fn a_worker_that_has_restarted_and_is_listed_again_is_called_under_no_lower_token() {
+    let mut fleet = fleet();
+    fleet.crash("w0");
+    fleet.advance(1_500);
+    let listed = fleet.listed.clone();
+    fleet.listed.retain(|w| w.id != "w0");
+    fleet.send_worker_list();
+    set_reachable(&mut fleet, "w0", false);
+    fleet.advance(8_000);
+    fleet.send_worker_list();
+    expect_that!(fleet.shard.worker_count(), eq(1));
+    fleet.listed = listed;
+    fleet.send_worker_list();
+    set_reachable(&mut fleet, "w0", true);
+    fleet.submit(job("a", vec![step(1, 100)]));
+    fleet.advance(1_000);
+    expect_that!(starts(&fleet, "a"), eq(1));
+}
+
+/// Guards against starts at a worker where calls for earlier incarnations cannot be barred any more.
+#[gtest]
+fn a_worker_that_restarts_more_often_than_there_are_tokens_gets_no_starts() {
+    let mut fleet = fleet();
+    fleet.shard.limit_tokens(fleet.epoch + 2);
+    for restarts in 1..=3 {
+        fleet.crash("w0");
+        fleet.advance(2_000);
+        let id = format!("a{restarts}");
+        fleet.submit(job(&id, vec![step(1, 100)]));
+        fleet.advance(300);
+        expect_that!(starts(&fleet, &id), eq(usize::from(restarts < 3)));
+    }
+    let polls = fleet.polls_answered;
+    fleet.advance(5_000);
+    expect_that!(fleet.polls_answered - polls, le(6));
+}
+
 /// Delays a poll that grants a lease by the present clock.
 fn delay_poll(fleet: &mut Fleet, delay: Ms) {
     fleet.call_delay = Some(delay);
--- a/components/shard/tests/fleet/support.rs
+++ b/components/shard/tests/fleet/support.rs
@@ -33,7 +33,7 @@
 /// A call that reaches its worker late, under the fencing token that it was sent with.
 #[derive(Clone, Debug)]
 enum LateCall {
-    Start(StartRequest, u64),
+    Start(StartRequest),
     Poll { worker: String, lease_until: Option<u64>, acked: u64, token: u64 },
 }
 
@@ -275,10 +275,10 @@
                 self.services.insert(request_id, services);
             }
             Action::Start(request) => self.start(request),
-            Action::Stop { worker, task_id, run, .. } => self.stop(&worker, &task_id, run),
+            Action::Stop { worker, task_id, run, token, .. } => self.stop(&worker, &task_id, run, token),
             Action::Throttle { percent, .. } => self.speeds.push(percent),
-            Action::Poll { worker, lease_until, acked, wait, .. } => {
-                self.poll(&worker, lease_until, acked, wait);
+            Action::Poll { worker, lease_until, acked, wait, token, .. } => {
+                self.poll(&worker, lease_until, (acked, wait), token);
             }
             Action::OwnershipLost => panic!("the shard lost its ownership"),
         }
@@ -288,12 +288,12 @@
         self.start_requests.push(request.clone());
         let (now, epoch) = (self.now, self.epoch);
         let reply = if let Some(delay) = self.call_delay {
-            self.late_calls.push((now + delay, LateCall::Start(request.clone(), epoch)));
+            self.late_calls.push((now + delay, LateCall::Start(request.clone())));
             StartReply::NoAnswer
         } else if self.workers[&request.worker].is_unreachable(epoch) {
             StartReply::NoAnswer
         } else {
-            self.start_run(&request, epoch)
+            self.start_run(&request)
         };
         let reply = if self.drop_start_replies { StartReply::NoAnswer } else { reply };
         let input =
@@ -303,8 +303,8 @@
     }
 
     /// Carries a start out at its worker.
-    fn start_run(&mut self, request: &StartRequest, token: u64) -> StartReply {
-        let (now, work_ms) = (self.now, (self.work_for)(request, self.work_ms));
+    fn start_run(&mut self, request: &StartRequest) -> StartReply {
+        let (now, token, work_ms) = (self.now, request.token, (self.work_for)(request, self.work_ms));
         let worker = self.workers.get_mut(&request.worker).expect("known worker");
         let task = request.task_id.to_string();
         if worker.fencing_token > token {
@@ -339,7 +339,7 @@
         let due: Vec<(Ms, LateCall)> = due;
         for (_, call) in due {
             match call {
-                LateCall::Start(request, token) => drop(self.start_run(&request, token)),
+                LateCall::Start(request) => drop(self.start_run(&request)),
                 LateCall::Poll { worker, lease_until, acked, token } => {
                     self.accept_poll(&worker, lease_until, acked, token);
                 }
@@ -347,14 +347,14 @@
         }
     }
 
-    fn stop(&mut self, id: &str, task_id: &TaskId, run: u32) {
+    fn stop(&mut self, id: &str, task_id: &TaskId, run: u32, token: u64) {
         self.stops.push((id.to_owned(), task_id.to_string()));
         let epoch = self.epoch;
         let worker = self.workers.get_mut(id).expect("known worker");
-        if worker.is_unreachable(epoch) || worker.fencing_token > epoch {
+        if worker.is_unreachable(epoch) || worker.fencing_token > token {
             return;
         }
-        worker.fencing_token = epoch;
+        worker.fencing_token = token;
         let text = task_id.to_string();
         worker.bar(&text, run);
         if worker.running.get(&text).is_some_and(|r| r.run == run) {
@@ -365,16 +365,16 @@
             .push((self.now, Input::StopConfirmed { worker: id.to_owned(), task_id: task_id.clone(), run }));
     }
 
-    fn poll(&mut self, id: &str, lease_until: Option<u64>, acked: u64, wait: Ms) {
+    fn poll(&mut self, id: &str, lease_until: Option<u64>, (acked, wait): (u64, Ms), token: u64) {
         let (now, epoch) = (self.now, self.epoch);
         if let Some(delay) = self.call_delay {
-            let call = LateCall::Poll { worker: id.to_owned(), lease_until, acked, token: epoch };
+            let call = LateCall::Poll { worker: id.to_owned(), lease_until, acked, token };
             self.late_calls.push((now + delay, call));
         }
         if self.call_delay.is_some() || self.workers[id].is_unreachable(epoch) {
             let input = Input::PollFailed { worker: id.to_owned(), replaced: false, fenced: false };
             self.delayed.push((now + TIMING.request_timeout, input));
-        } else if self.accept_poll(id, lease_until, acked, epoch) {
+        } else if self.accept_poll(id, lease_until, acked, token) {
             self.polls.push_back((now + wait, id.to_owned(), now));
         } else {
             let input = Input::PollFailed { worker: id.to_owned(), replaced: false, fenced: true };
