An incarnation that only the list of workers shows is reckoned with

Starts by the earlier clock have been taken, so the runs go on for up to 10 s, and this owner or the next one waits for 5.6 or 7.1 s.

An entry of the list has the same start time of the incarnation as a report. If it shows one that has not answered a poll, no start and no lease is sent, and the runs of a silent worker are waited for as long as the earlier clock can have granted. The owner records the incarnation with the worker's runs, so that the next one knows, too, and adds nothing to a lease if it meets the same one. An entry may be behind: one that a poll sent after it contradicts is ignored.

a_lease_on_an_incarnation_that_only_the_list_has_shown_is_waited_out (two runs of b.0.0.0 at 20,230) and no_starts_are_sent_to_an_incarnation_before_it_has_answered_a_poll fail without the check.

--- a/components/capacity/tests/turns/player.rs
+++ b/components/capacity/tests/turns/player.rs
@@ -422,5 +422,6 @@
         labels: vec!["a".into()],
         capacity: Resources { cpu: machine.cpu, mem: 32_768, gpu: 0 },
         ready: true,
+        incarnation: 0,
     }
 }
--- a/components/relay/tests/daemons/platform/workers.rs
+++ b/components/relay/tests/daemons/platform/workers.rs
@@ -176,5 +176,6 @@
         labels: Vec::new(),
         capacity: Resources { cpu: 4_000, mem: 4_000, gpu: 0 },
         ready: true,
+        incarnation: 0,
     }
 }
--- a/components/shard/benches/step.rs
+++ b/components/shard/benches/step.rs
@@ -35,6 +35,7 @@
         labels: vec!["a".into(), format!("r{}-1", n / 20)],
         capacity: Resources { cpu: 16_000, mem: 32_768, gpu: 0 },
         ready: true,
+        incarnation: 0,
     }
 }
 
--- a/components/shard/src/admission.rs
+++ b/components/shard/src/admission.rs
@@ -200,6 +200,9 @@
             // It is back, unless another incarnation answers at the address for which it is still listed.
             worker.removed = worker.removed && worker.listed && worker.info.addr == info.addr;
             worker.listed = true;
+            if worker.info.incarnation != info.incarnation {
+                worker.listed_at = self.now;
+            }
             worker.info = info;
         }
         for key in unlisted {
@@ -221,7 +224,7 @@
     }
 
     pub(crate) fn add_worker(&mut self, info: WorkerInfo) -> WorkerKey {
-        tracing::info!(worker = %info.id, service = %info.service, zone = %info.zone, "shard: worker added");
+        tracing::info!(worker = %info.id, service = %info.service, zone = %info.zone, incarnation = info.incarnation, "shard: worker added");
         // No lower than any that it has seen, should it have been here before.
         self.workers.insert(Worker::new(info, self.tokens.last, self.now))
     }
--- a/components/shard/src/batch.rs
+++ b/components/shard/src/batch.rs
@@ -9,7 +9,7 @@
 use crate::job::{JobKey, TaskRef};
 use crate::record::{self, Record, RunRecord, WorkerRecord};
 use crate::state::Shard;
-use crate::worker::{RunPhase, WorkerKey};
+use crate::worker::{Fence, RunPhase, WorkerKey};
 
 /// Bytes after which a batch takes no further records. The store appends 2 MiB at a time, and the last job's two
 /// records may add half a MiB.
@@ -135,7 +135,7 @@
                 }
             }
             // Without runs the record is deleted, and the log holds nothing of the worker's leases.
-            let lease_left = if runs.is_empty() { 0 } else { worker.lease_left(self.now) };
+            let lease_left = if runs.is_empty() { 0 } else { worker.lease_left(&self.timing, self.now) };
             batch.workers.push((key, lease_left > 0));
             if !runs.is_empty() || worker.recorded {
                 let stray_lease_left = worker.stray_lease_end.saturating_sub(self.now);
@@ -145,6 +145,7 @@
                     runs,
                     lease_left,
                     stray_lease_left,
+                    incarnation: if worker.fence == Fence::Up { worker.incarnation } else { 0 },
                 }));
                 let worker = &mut self.workers[key];
                 worker.recorded = !worker.runs.is_empty();
--- a/components/shard/src/copies.rs
+++ b/components/shard/src/copies.rs
@@ -290,7 +290,7 @@
             Slowness::Pace(left) => *left,
             // Its end is unknown: by what it has taken already, or after its lease, by a fresh run.
             Slowness::Silent => {
-                let lease = self.workers.get(*first)?.lease_left(self.now);
+                let lease = self.workers.get(*first)?.lease_left(&self.timing, self.now);
                 to_float(facts.elapsed).max(to_float(lease) + facts.fresh?)
             }
         };
--- a/components/shard/src/health.rs
+++ b/components/shard/src/health.rs
@@ -53,9 +53,9 @@
     /// Notes in the log how long the leases of silent workers still last, so that owners which take over
     /// from one another do not each wait for the longest lease.
     pub(crate) fn note_leases(&mut self) {
-        let now = self.now;
+        let (now, timing) = (self.now, self.timing);
         for (key, worker) in self.workers.iter_mut() {
-            let silent = !worker.runs.is_empty() && worker.lease_left(now) > 0;
+            let silent = !worker.runs.is_empty() && worker.lease_left(&timing, now) > 0;
             if silent && now >= worker.lease_noted_at + LEASE_NOTE_INTERVAL_MS {
                 worker.lease_noted_at = now;
                 self.dirty_workers.insert(key);
@@ -67,7 +67,8 @@
     pub(crate) fn expire_leases(&mut self) {
         let expired = self.workers.iter().filter(|(_, w)| {
             let silent = w.reachability != Reachability::Reachable || w.polling;
-            !w.runs.is_empty() && silent && w.leases_end() != 0 && self.now >= w.leases_end()
+            let end = w.leases_end(&self.timing);
+            !w.runs.is_empty() && silent && end != 0 && self.now >= end
         });
         let keys: Vec<WorkerKey> = expired.map(|(key, _)| key).collect();
         for key in keys {
--- a/components/shard/src/io.rs
+++ b/components/shard/src/io.rs
@@ -36,6 +36,12 @@
         self.lease + self.lease / 50 + self.request_timeout
     }
 
+    /// Time by which a lease can last longer than this owner reckons if the clock of an earlier incarnation granted it.
+    #[must_use]
+    pub const fn clock_excess(&self) -> Ms {
+        self.longest_lease() + self.request_timeout - self.max_lease()
+    }
+
     /// Longest time from now on that a worker can hold a lease which an earlier request granted.
     #[must_use]
     pub const fn longest_lease(&self) -> Ms {
--- a/components/shard/src/placement.rs
+++ b/components/shard/src/placement.rs
@@ -419,6 +419,7 @@
             || !worker.info.ready
             || worker.reachability != Reachability::Reachable
             || worker.fence != Fence::Up
+            || worker.restart_listed()
             || worker.lease_noted
         {
             return None;
--- a/components/shard/src/record.rs
+++ b/components/shard/src/record.rs
@@ -41,6 +41,9 @@
     /// expired, counted from when this was written.
     #[prost(uint64, tag = "5")]
     pub stray_lease_left: u64,
+    /// Start time of its incarnation; 0 if unknown, or if calls for earlier ones could still act on it.
+    #[prost(uint64, tag = "6")]
+    pub incarnation: u64,
 }
 
 /// A run that may be on a worker.
--- a/components/shard/src/recovery.rs
+++ b/components/shard/src/recovery.rs
@@ -54,12 +54,16 @@
             labels: Vec::new(),
             capacity: crate::Resources::default(),
             ready: false,
+            incarnation: 0,
         };
         let mut worker = Worker::new(info, self.epoch, self.now);
         worker.recorded = true;
         worker.listed = false;
-        let last_grant = self.timing.overlap + self.timing.max_lease();
-        worker.lease_end = self.now + last_grant.max(record.stray_lease_left);
+        worker.incarnation = record.incarnation;
+        worker.lease_end = self.now + self.timing.overlap + self.timing.max_lease();
+        if record.stray_lease_left > 0 {
+            worker.stray_lease_end = self.now + record.stray_lease_left;
+        }
         if record.lease_left > 0 {
             worker.lease_noted = true;
             worker.lease_end = worker.lease_end.min(self.now + record.lease_left);
--- a/components/shard/src/report.rs
+++ b/components/shard/src/report.rs
@@ -68,7 +68,7 @@
 impl Shard {
     pub(crate) fn poll_answered(&mut self, id: &str, sent: Ms, report: &WorkerReport) {
         let Some(key) = self.worker_key(id) else { return };
-        self.record_contact(key, report);
+        self.record_contact(key, sent, report);
         for end in &report.ended {
             self.run_ended(key, end);
         }
@@ -78,7 +78,7 @@
     }
 
     /// Updates a worker's incarnation, clock and reachability.
-    fn record_contact(&mut self, key: WorkerKey, report: &WorkerReport) {
+    fn record_contact(&mut self, key: WorkerKey, sent: Ms, report: &WorkerReport) {
         let restarted = {
             let worker = &self.workers[key];
             worker.incarnation != 0 && worker.incarnation != report.incarnation
@@ -93,6 +93,11 @@
         let (now, longest_lease) = (self.now, self.timing.longest_lease());
         let worker = &mut self.workers[key];
         let met = restarted || worker.incarnation == 0;
+        if restarted {
+            worker.outdated = worker.incarnation;
+        } else if sent >= worker.listed_at && worker.info.incarnation != report.incarnation {
+            worker.outdated = worker.info.incarnation;
+        }
         if met {
             worker.incarnation = report.incarnation;
             worker.ends_seen = 0;
--- a/components/shard/src/state.rs
+++ b/components/shard/src/state.rs
@@ -248,7 +248,9 @@
                 continue;
             }
             worker.polling = true;
-            let known = worker.reachability == Reachability::Reachable && !worker.lease_noted;
+            let known = worker.reachability == Reachability::Reachable
+                && !worker.lease_noted
+                && !worker.restart_listed();
             let lease_until =
                 worker.estimated_clock(self.now).filter(|_| known).map(|c| c + self.timing.lease);
             if lease_until.is_some() {
--- a/components/shard/src/worker.rs
+++ b/components/shard/src/worker.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 
 use crate::Ms;
+use crate::io::Timing;
 use crate::job::TaskRef;
 use crate::model::{Resources, TaskId};
 
@@ -26,6 +27,8 @@
     pub capacity: Resources,
     /// The platform allows new work on it.
     pub ready: bool,
+    /// Start time of its incarnation in milliseconds since the Unix epoch, as its entry says; 0 if unknown.
+    pub incarnation: u64,
 }
 
 /// Phase of a run, as far as the owner knows.
@@ -152,6 +155,10 @@
     pub first_contact: Option<Ms>,
     /// Start time of its incarnation, as it reports it; 0 if unknown.
     pub incarnation: u64,
+    /// Incarnation that its entry may still show though polls have been answered by a later one; 0 for none.
+    pub outdated: u64,
+    /// When the incarnation in its entry last changed.
+    pub listed_at: Ms,
     /// Fencing token of the calls to it.
     pub token: u64,
     pub fence: Fence,
@@ -208,6 +215,8 @@
             reachability: Reachability::Unknown,
             first_contact: None,
             incarnation: 0,
+            outdated: 0,
+            listed_at: now,
             token,
             fence: Fence::Up,
             ends_seen: 0,
@@ -256,19 +265,29 @@
             && !self.cordoned(now)
             && self.reachability == Reachability::Reachable
             && self.fence == Fence::Up
+            && !self.restart_listed()
             && self.unknown_runs.is_empty()
             && self.clock.is_some()
             && now >= self.backoff_until
     }
 
-    /// When all its leases have expired unless it is reached again; 0 if it holds none.
-    pub fn leases_end(&self) -> Ms {
-        self.lease_end.max(self.stray_lease_end)
+    /// Whether its entry shows an incarnation that has not answered a poll yet.
+    pub const fn restart_listed(&self) -> bool {
+        let listed = self.info.incarnation;
+        self.incarnation != 0 && listed != 0 && listed != self.incarnation && listed != self.outdated
+    }
+
+    /// When all its leases have expired unless it is reached again; 0 if it holds none. An incarnation that is only
+    /// listed may have taken this owner's calls for the earlier one.
+    pub fn leases_end(&self, timing: &Timing) -> Ms {
+        let excess = if self.lease_end != 0 && self.restart_listed() { timing.clock_excess() } else { 0 };
+        (self.lease_end + excess).max(self.stray_lease_end)
     }
 
     /// Milliseconds until the leases of a silent worker have expired; 0 if it answers or holds none.
-    pub fn lease_left(&self, now: Ms) -> Ms {
-        if self.reachability == Reachability::Reachable { 0 } else { self.leases_end().saturating_sub(now) }
+    pub fn lease_left(&self, timing: &Timing, now: Ms) -> Ms {
+        let silent = self.reachability != Reachability::Reachable;
+        if silent { self.leases_end(timing).saturating_sub(now) } else { 0 }
     }
 
     /// When it last answered a poll; 0 if it has answered none since it was last lost.
--- a/components/shard/tests/fleet/restarts.rs
+++ b/components/shard/tests/fleet/restarts.rs
@@ -1,6 +1,6 @@
 //! Workers that restart under their ids while calls for their earlier incarnation are on their way.
 
-use crate::support::{Fleet, job, step};
+use crate::support::{Fleet, TIMING, job, step};
 use googletest::prelude::*;
 use shard::{Input, Ms, StartReply};
 
@@ -79,6 +79,46 @@
     expect_that!(starts(&fleet, "a"), eq(2));
 }
 
+/// Guards against a run that goes on after its owner, which has met the earlier incarnation only, took its lease to
+/// have expired.
+#[gtest]
+fn a_lease_on_an_incarnation_that_only_the_list_has_shown_is_waited_out() {
+    for owner_changes in [false, true] {
+        let mut fleet = fleet();
+        fleet.list_incarnation("w0");
+        start_by_earlier_clock(&mut fleet);
+        swap_workers(&mut fleet);
+        if owner_changes {
+            fleet.change_owner();
+        }
+        fleet.advance(1_000);
+        fleet.list_incarnation("w0");
+        fleet.advance(LEASES_EXPIRED_MS + TIMING.overlap);
+        expect_that!(starts(&fleet, "b"), eq(2));
+    }
+}
+
+/// Guards against starts by the earlier clock, and against a worker that stays unused as its entry is behind.
+#[gtest]
+fn no_starts_are_sent_to_an_incarnation_before_it_has_answered_a_poll() {
+    let mut fleet = fleet();
+    fleet.list_incarnation("w0");
+    fleet.advance(600);
+    fleet.crash("w0");
+    fleet.list_incarnation("w0");
+    fleet.submit(job("a", vec![step(1, 100)]));
+    fleet.advance(50);
+    expect_that!(starts(&fleet, "a"), eq(0));
+    fleet.advance(500);
+    expect_that!(starts(&fleet, "a"), eq(1));
+    // The list learns of the next restart after the owner.
+    fleet.crash("w0");
+    fleet.advance(1_500);
+    fleet.submit(job("b", vec![step(1, 100)]));
+    fleet.advance(200);
+    expect_that!(starts(&fleet, "b"), eq(1));
+}
+
 /// Guards against a start that reaches the next incarnation after its task has started elsewhere.
 #[gtest]
 fn an_unanswered_start_is_stopped_at_the_next_incarnation_before_its_task_starts_elsewhere() {
--- a/components/shard/tests/fleet/support.rs
+++ b/components/shard/tests/fleet/support.rs
@@ -218,6 +218,14 @@
         self.workers.get_mut(worker).expect("known worker").crash(now);
     }
 
+    /// Lists the present incarnation of a worker.
+    pub fn list_incarnation(&mut self, worker: &str) {
+        let incarnation = self.workers[worker].incarnation;
+        let entry = self.listed.iter_mut().find(|w| w.id == worker).expect("a listed worker");
+        entry.incarnation = incarnation;
+        self.send_worker_list();
+    }
+
     /// Advances the simulated time.
     pub fn advance(&mut self, span: Ms) {
         let end = self.now + span;
@@ -463,6 +471,7 @@
         labels: vec!["a".into(), "r1-1".into()],
         capacity: Resources { cpu, mem: 100_000, gpu: 0 },
         ready: true,
+        incarnation: 0,
     }
 }
 
--- a/components/shard/tests/overload/player.rs
+++ b/components/shard/tests/overload/player.rs
@@ -209,6 +209,7 @@
             labels: vec!["a".into()],
             capacity: Resources { cpu: WORKER_CPU, mem: 1 << 30, gpu: 0 },
             ready: true,
+            incarnation: 0,
         };
         let names: Vec<String> = (0..self.day.customers.len()).map(|n| customer_name(&self.day, n)).collect();
         let limit = Resources { cpu: 1 << 50, mem: 1 << 50, gpu: 0 };
