Epochs are counted by partition

A daemon counted its epochs over all partitions, 64 in a generation of the group. An owner now raises its fencing token within these for workers that restart, so one shard's restarts would have used up those of all. An epoch has to be new for its partition only: the store and the workers compare it with others of that partition. Fencing tokens leave 16 epochs of a generation to later take-overs of the shard.

--- a/components/relay/src/node.rs
+++ b/components/relay/src/node.rs
@@ -30,7 +30,7 @@
 mod jobs;
 mod ownership;
 
-pub(crate) use ownership::EPOCHS_PER_GENERATION;
+pub(crate) use ownership::{EPOCHS_PER_GENERATION, token_limit};
 
 /// Most peers that are remembered; peers that were replaced stay in the set until the process ends.
 const MAX_KNOWN_PEERS: usize = 1_024;
@@ -107,8 +107,8 @@
     stopping: watch::Sender<bool>,
     role: watch::Sender<Role>,
     draining: AtomicBool,
-    /// Highest epoch that this daemon has used.
-    last_epoch: Mutex<u64>,
+    /// Highest epoch that this daemon has used, by partition.
+    last_epochs: Mutex<HashMap<u32, u64>>,
     /// Time until which requests are served during a drain.
     drain_deadline: Mutex<Option<Instant>>,
     /// The coordinator, if this daemon runs it.
@@ -161,7 +161,7 @@
             stopping: stopping_tx,
             role,
             draining: AtomicBool::new(false),
-            last_epoch: Mutex::default(),
+            last_epochs: Mutex::default(),
             drain_deadline: Mutex::default(),
             coordinator: Mutex::default(),
             broker: Mutex::default(),
--- a/components/relay/src/node/ownership.rs
+++ b/components/relay/src/node/ownership.rs
@@ -15,8 +15,16 @@
 /// Longest pause between two reconciliations of the owned shards, and shortest between two reads of the
 /// owners.
 const RECONCILE_INTERVAL: Duration = Duration::from_millis(250);
-/// Epochs per generation of the group: a daemon can take over the same shard more than once in a generation.
+/// Epochs of a partition per generation of the group: a daemon can take over the same shard more than once in a
+/// generation, and its owner raises its fencing token for workers that restart.
 pub const EPOCHS_PER_GENERATION: u64 = 64;
+/// Epochs of a generation that fencing tokens leave to later take-overs.
+const EPOCHS_FOR_TAKEOVERS: u64 = 16;
+
+/// Highest fencing token of an owner.
+pub const fn token_limit(epoch: u64) -> u64 {
+    (epoch / EPOCHS_PER_GENERATION + 1) * EPOCHS_PER_GENERATION - 1 - EPOCHS_FOR_TAKEOVERS
+}
 
 impl Node {
     /// Reconciles the owned shards with the assignment whenever it or the partitions of services change, and
@@ -55,7 +63,7 @@
         let mut owned = self.owned.lock();
         for &partition in membership.assignment.partitions.iter().filter(|p| active.contains(p)) {
             owned.entry(partition).or_insert_with(|| {
-                let epoch = self.next_epoch(membership.assignment.generation);
+                let epoch = self.next_epoch(partition, membership.assignment.generation);
                 tracing::info!(part = partition, epoch, "node: shard assigned");
                 ShardHandle::start(partition, epoch, self.owner_context())
             });
@@ -70,7 +78,7 @@
         if !assigned {
             *self.coordinator.lock() = None;
         } else if !running {
-            let epoch = self.next_epoch(membership.assignment.generation);
+            let epoch = self.next_epoch(partition, membership.assignment.generation);
             let coordinator = Coordinator {
                 node: Arc::clone(self),
                 store: Arc::clone(&self.options.store),
@@ -87,17 +95,19 @@
         }
     }
 
-    /// Returns a new epoch, above all epochs of earlier generations and above this daemon's earlier epochs.
-    fn next_epoch(&self, generation: u64) -> u64 {
-        let mut last = self.last_epoch.lock();
-        let epoch = (generation * EPOCHS_PER_GENERATION).max(*last + 1);
-        *last = epoch;
-        epoch
+    /// Returns a new epoch of a partition, above all epochs of earlier generations and this daemon's earlier ones.
+    fn next_epoch(&self, partition: u32, generation: u64) -> u64 {
+        let mut epochs = self.last_epochs.lock();
+        let last = epochs.entry(partition).or_default();
+        *last = (generation * EPOCHS_PER_GENERATION).max(*last + 1);
+        *last
     }
 
-    /// Takes the epochs up to `last`, which an owner's calls to restarted workers have as fencing tokens.
-    pub(crate) fn use_epochs(&self, last: u64) {
-        let mut used = self.last_epoch.lock();
+    /// Takes the epochs of a partition up to `last`, which its owner's calls to restarted workers have as fencing
+    /// tokens.
+    pub(crate) fn use_epochs(&self, partition: u32, last: u64) {
+        let mut epochs = self.last_epochs.lock();
+        let used = epochs.entry(partition).or_default();
         *used = last.max(*used);
     }
 
--- a/components/relay/src/owner.rs
+++ b/components/relay/src/owner.rs
@@ -13,7 +13,7 @@
 use crate::desired_state::DesiredState;
 use crate::membership::Membership;
 use crate::message::{LoadRequest, ReferRequest, Reply, ReplyKind, RequestBody};
-use crate::node::{EPOCHS_PER_GENERATION, Node};
+use crate::node::{EPOCHS_PER_GENERATION, Node, token_limit};
 use crate::partition;
 use crate::platform::{Store, Workers};
 use crate::repeat::Pace;
@@ -117,7 +117,7 @@
     let records = partition::take_over(&*context.store, partition, epoch, is_assigned).await?;
     let mut shard = Shard::new(context.timing, epoch, monotonic_ms(), wall_ms());
     shard.limit_large_jobs(context.node.large_job_bytes());
-    shard.limit_tokens((epoch / EPOCHS_PER_GENERATION + 1) * EPOCHS_PER_GENERATION - 1);
+    shard.limit_tokens(token_limit(epoch));
     shard.load(records.iter().map(|(k, v)| (k.as_str(), v.as_slice())));
     tracing::info!(part = partition, epoch, records = records.len(), "owner: shard loaded");
     Some(shard)
@@ -226,7 +226,7 @@
         let may_start =
             self.context.membership.borrow().valid_at(now) && self.context.worker_list.borrow().is_some();
         let actions = self.shard.step(now, wall_ms(), may_start);
-        self.context.node.use_epochs(self.shard.last_token());
+        self.context.node.use_epochs(self.partition, self.shard.last_token());
         for action in actions {
             if action == Action::OwnershipLost {
                 return false;
