Late calls are waited for while they can act on a restarted worker

A call that was not answered may be carried out up to 12 s later. One for an earlier incarnation then starts a run on the present one, or extends its lease by the earlier clock, as long as the owner's raised token has not reached it: while the worker is cut off after its restart. In the trace a start of before 24.7 s was carried out at 33.257 s and its task had a second run from 34.358 s; in another one a late start extended the lease of a run that the owner had given up.

The runs of a silent worker are now waited for 12 s longer if its entry shows an incarnation that has not answered, or if its token has been raised and not been confirmed, as long as it is listed. Workers that are silent without a restart are waited for as before. The record of a worker says whether its token was confirmed, so that the next owner waits as long; before, it left out the incarnation.

--- a/components/shard/src/batch.rs
+++ b/components/shard/src/batch.rs
@@ -145,7 +145,8 @@
                     runs,
                     lease_left,
                     stray_lease_left,
-                    incarnation: if worker.fence == Fence::Up { worker.incarnation } else { 0 },
+                    incarnation: worker.incarnation,
+                    unfenced: worker.fence != Fence::Up,
                 }));
                 let worker = &mut self.workers[key];
                 worker.recorded = !worker.runs.is_empty();
--- a/components/shard/src/record.rs
+++ b/components/shard/src/record.rs
@@ -41,9 +41,12 @@
     /// expired, counted from when this was written.
     #[prost(uint64, tag = "5")]
     pub stray_lease_left: u64,
-    /// Start time of its incarnation; 0 if unknown, or if calls for earlier ones could still act on it.
+    /// Start time of its incarnation; 0 if unknown.
     #[prost(uint64, tag = "6")]
     pub incarnation: u64,
+    /// Calls for earlier incarnations could still act on it.
+    #[prost(bool, tag = "7")]
+    pub unfenced: bool,
 }
 
 /// A run that may be on a worker.
--- a/components/shard/src/recovery.rs
+++ b/components/shard/src/recovery.rs
@@ -6,7 +6,7 @@
 use crate::model::{TaskId, Verdict};
 use crate::record::{self, OccurrenceProgress, Progress, StoredRecord};
 use crate::state::Shard;
-use crate::worker::{RunPhase, Worker, WorkerInfo, WorkerKey};
+use crate::worker::{Fence, RunPhase, Worker, WorkerInfo, WorkerKey};
 
 impl Shard {
     /// Loads the newest record of each key in the shard's partition.
@@ -60,6 +60,10 @@
         worker.recorded = true;
         worker.listed = false;
         worker.incarnation = record.incarnation;
+        if record.unfenced {
+            // This owner's token is above those of all earlier calls.
+            worker.fence = Fence::Raised;
+        }
         worker.lease_end = self.now + self.timing.overlap + self.timing.max_lease();
         if record.stray_lease_left > 0 {
             worker.stray_lease_end = self.now + record.stray_lease_left;
--- a/components/shard/src/worker.rs
+++ b/components/shard/src/worker.rs
@@ -7,6 +7,9 @@
 use crate::job::TaskRef;
 use crate::model::{Resources, TaskId};
 
+/// Longest time after which the platform carries out a call to a worker that it left without an answer.
+const LATE_CALL_MS: Ms = 12_000;
+
 /// Index of a worker in the shard's table.
 pub(crate) type WorkerKey = u32;
 
@@ -277,11 +280,13 @@
         self.incarnation != 0 && listed != 0 && listed != self.incarnation && listed != self.outdated
     }
 
-    /// When all its leases have expired unless it is reached again; 0 if it holds none. An incarnation that is only
-    /// listed may have taken this owner's calls for the earlier one.
+    /// When all its leases have expired unless it is reached again; 0 if it holds none. Calls for an earlier incarnation
+    /// may grant leases by its clock, and may do so late while the worker is there to take them.
     pub fn leases_end(&self, timing: &Timing) -> Ms {
         let excess = if self.lease_end != 0 && self.restart_listed() { timing.clock_excess() } else { 0 };
-        (self.lease_end + excess).max(self.stray_lease_end)
+        let end = (self.lease_end + excess).max(self.stray_lease_end);
+        let unfenced = self.restart_listed() || self.fence != Fence::Up;
+        if end != 0 && self.listed && unfenced { end + LATE_CALL_MS } else { end }
     }
 
     /// Milliseconds until the leases of a silent worker have expired; 0 if it answers or holds none.
--- a/components/shard/tests/fleet/restarts.rs
+++ b/components/shard/tests/fleet/restarts.rs
@@ -1,12 +1,15 @@
 //! Workers that restart under their ids while calls for their earlier incarnation are on their way.
 
-use crate::support::{Fleet, TIMING, job, step};
+use crate::support::{Fleet, TICK_MS, TIMING, job, step};
 use googletest::prelude::*;
 use shard::{Input, Ms, StartReply};
 
 /// Time after which every lease has expired that a worker holds now.
 const LEASES_EXPIRED_MS: Ms = 11_000;
 
+/// Longest time after which a call without an answer is carried out.
+const LATE_MS: Ms = 12_000;
+
 /// Two workers, of which only `w0` can be reached.
 fn fleet() -> Fleet {
     let mut fleet = Fleet::new(2, 4_000);
@@ -93,11 +96,60 @@
         }
         fleet.advance(1_000);
         fleet.list_incarnation("w0");
-        fleet.advance(LEASES_EXPIRED_MS + TIMING.overlap);
+        fleet.advance(LEASES_EXPIRED_MS + TIMING.overlap + LATE_MS);
         expect_that!(starts(&fleet, "b"), eq(2));
     }
 }
 
+/// Guards against a late start that the next incarnation carries out while it is cut off, after its task has started
+/// elsewhere.
+#[gtest]
+fn an_unanswered_start_is_waited_for_while_the_list_shows_a_restarted_worker() {
+    for owner_changes in [false, true] {
+        let mut fleet = fleet();
+        fleet.list_incarnation("w0");
+        fleet.call_delay = Some(LATE_MS);
+        fleet.submit(job("a", vec![step(1, 100)]));
+        fleet.advance(50);
+        fleet.call_delay = None;
+        fleet.crash("w0");
+        swap_workers(&mut fleet);
+        fleet.list_incarnation("w0");
+        if owner_changes {
+            fleet.change_owner();
+        }
+        fleet.advance(LEASES_EXPIRED_MS + TIMING.overlap);
+        expect_that!(starts(&fleet, "a"), eq(1));
+        fleet.advance(LATE_MS);
+        expect_that!(starts(&fleet, "a"), eq(2));
+    }
+}
+
+/// Guards against a late start that the next incarnation takes before the raised token has reached it.
+#[gtest]
+fn late_calls_are_waited_for_until_a_raised_token_is_confirmed() {
+    for owner_changes in [false, true] {
+        let mut fleet = fleet();
+        fleet.list_incarnation("w0");
+        fleet.crash("w0");
+        fleet.call_delay = Some(LATE_MS - 1_000);
+        fleet.submit(job("a", vec![step(1, 100)]));
+        fleet.advance(30);
+        assert_eq!(starts(&fleet, "a"), 1);
+        // The poll that waits at the worker shows the restart; the next one does not arrive.
+        fleet.call_delay = Some(LATE_MS * 10);
+        advance_to_answer(&mut fleet);
+        fleet.call_delay = None;
+        fleet.list_incarnation("w0");
+        swap_workers(&mut fleet);
+        if owner_changes {
+            fleet.change_owner();
+        }
+        fleet.advance(LATE_MS + LEASES_EXPIRED_MS + TIMING.overlap);
+        expect_that!(starts(&fleet, "a"), eq(2));
+    }
+}
+
 /// Guards against starts by the earlier clock, and against a worker that stays unused as its entry is behind.
 #[gtest]
 fn no_starts_are_sent_to_an_incarnation_before_it_has_answered_a_poll() {
@@ -228,6 +280,14 @@
     expect_that!(fleet.polls_answered - polls, le(6));
 }
 
+/// Advances until a poll is answered, and the next one is sent.
+fn advance_to_answer(fleet: &mut Fleet) {
+    let answered = fleet.polls_answered;
+    while fleet.polls_answered == answered {
+        fleet.advance(TICK_MS);
+    }
+}
+
 /// Delays a poll that grants a lease by the present clock.
 fn delay_poll(fleet: &mut Fleet, delay: Ms) {
     fleet.call_delay = Some(delay);
