Ends of runs are logged with their numbers, and missing ones are pointed out

Each end has a line now, with its number, its incarnation and its outcome. Ends are numbered without gaps, so a gap shows ends that were acknowledged before the owner saw them; it has a warning. A restart's line says up to which number the earlier incarnation had been told to forget ends, and a run that disappeared its number and the incarnation. One line a run, as its start has.

--- a/components/shard/src/completion.rs
+++ b/components/shard/src/completion.rs
@@ -15,11 +15,13 @@
 impl Shard {
     /// Handles the end of a run that a worker reports.
     pub(crate) fn run_ended(&mut self, key: WorkerKey, end: &RunEnd) {
-        let worker = &mut self.workers[key];
-        if end.sequence <= worker.ends_seen {
+        if end.sequence <= self.workers[key].ends_seen {
             return;
         }
+        self.log_end(key, end);
+        let worker = &mut self.workers[key];
         worker.ends_seen = end.sequence;
+        worker.ends_known = true;
         let Some(task) = self.task_ref(&end.task_id).filter(|t| self.knows_task(t)) else { return };
         let current = self.workers[key].runs.get(&task).is_some_and(|r| r.number == end.run);
         let run = if current { self.remove_run(key, &task) } else { None };
@@ -55,6 +57,18 @@
         }
     }
 
+    /// Logs an end. The ends of an incarnation are numbered without gaps, so one whose number is not the next tells that
+    /// others were acknowledged before this owner saw them.
+    fn log_end(&self, key: WorkerKey, end: &RunEnd) {
+        let worker = &self.workers[key];
+        let (id, task) = (&worker.info.id, &end.task_id);
+        tracing::info!(worker = %id, %task, run = end.run, outcome = ?end.outcome, number = end.sequence, incarnation = worker.incarnation, "shard: run ended");
+        let missing = end.sequence - worker.ends_seen - 1;
+        if missing > 0 && worker.ends_known {
+            tracing::warn!(worker = %id, missing, number = end.sequence, incarnation = worker.incarnation, "shard: ends were acknowledged unseen");
+        }
+    }
+
     fn restart_at(&self, task: &TaskRef) -> Ms {
         let Some(job) = self.jobs.get(&task.step_ref.job) else { return self.now };
         let long_running = job.spec.steps.get(task.step_ref.step as usize).is_some_and(|s| s.long_running);
--- a/components/shard/src/report.rs
+++ b/components/shard/src/report.rs
@@ -101,6 +101,7 @@
         if met {
             worker.incarnation = report.incarnation;
             worker.ends_seen = 0;
+            worker.ends_known = restarted;
             worker.ends_stored = 0;
             worker.lease_end = 0;
         }
@@ -133,6 +134,7 @@
             clock = report.clock,
             earlier_incarnation = worker.incarnation,
             earlier_clock = worker.estimated_clock(self.now),
+            acknowledged = worker.ends_stored,
             runs = worker.runs.len(),
             unanswered = worker.runs.values().filter(unanswered).count(),
             "shard: worker restarted"
@@ -179,23 +181,24 @@
         if report.more_ends {
             return;
         }
+        let incarnation = self.workers[key].incarnation;
         let mut lost = Vec::new();
         for (task, run) in &mut self.workers[key].runs {
             if reported.get(task) == Some(&run.number) {
                 continue;
             }
             match run.phase {
-                RunPhase::Running(at) | RunPhase::Stopped(at) if at < sent => lost.push(*task),
+                RunPhase::Running(at) | RunPhase::Stopped(at) if at < sent => lost.push((*task, run.number)),
                 // The poll carried a higher fencing token, so a delayed start of an earlier owner is
                 // rejected.
-                RunPhase::Inherited => lost.push(*task),
+                RunPhase::Inherited => lost.push((*task, run.number)),
                 RunPhase::Unconfirmed(at) if at < sent => run.stop(StopCause::Unanswered),
                 _ => {}
             }
         }
-        for task in lost {
+        for (task, run) in lost {
             let task_id = self.task_id(&task).map(|n| n.to_string());
-            tracing::info!(worker = %self.workers[key].info.id, task = task_id, "shard: run disappeared without reporting its end");
+            tracing::info!(worker = %self.workers[key].info.id, task = task_id, run, incarnation, "shard: run disappeared without reporting its end");
             self.remove_run(key, &task);
             self.note_removed_run(key, &task);
             self.requeue(task, now);
--- a/components/shard/src/worker.rs
+++ b/components/shard/src/worker.rs
@@ -167,6 +167,8 @@
     pub fence: Fence,
     /// Highest sequence number among the ends reported by this incarnation.
     pub ends_seen: u64,
+    /// The number of its next end is known: this owner has met its predecessor, or seen an end of it.
+    pub ends_known: bool,
     /// Highest sequence number among the ends whose effects are stored.
     pub ends_stored: u64,
     /// Last reading of its clock, and when it was received.
@@ -223,6 +225,7 @@
             token,
             fence: Fence::Up,
             ends_seen: 0,
+            ends_known: false,
             ends_stored: 0,
             clock: None,
             lease_end: 0,
