A poll that may meet another incarnation acknowledges no ends

Callers can see a task run again after a run of it was done and its end was acknowledged. A worker numbers its ends from 1 in each incarnation, and each poll named the number that the one its owner knew had reached. After a restart the first polls, sent in ignorance or arriving late, made the next incarnation forget ends that nobody had seen: its report lists neither run nor end, and the task starts elsewhere.

A poll now acknowledges ends only when there are new ones to acknowledge, the last call was answered and the list shows no restart; it names 0 otherwise. What a poll without an answer acknowledged is acknowledged again once the worker answers.

a_poll_that_may_meet_another_incarnation_acknowledges_nothing (2 starts, 1 is expected) failed before.

--- a/components/shard/src/io.rs
+++ b/components/shard/src/io.rs
@@ -277,7 +277,7 @@
         addr: String,
         /// New end of the lease on the worker's clock; none while that clock is unknown.
         lease_until: Option<u64>,
-        /// Sequence number up to which ends are stored.
+        /// Sequence number up to which ends are stored; 0 to acknowledge none.
         acked: u64,
         /// Longest time to wait for a run to end.
         wait: Ms,
--- a/components/shard/src/report.rs
+++ b/components/shard/src/report.rs
@@ -103,7 +103,10 @@
             worker.ends_seen = 0;
             worker.ends_known = restarted;
             worker.ends_stored = 0;
+            worker.ends_acked = 0;
             worker.lease_end = 0;
+        } else {
+            worker.ends_acked = worker.ends_acked.max(worker.poll_acked);
         }
         let fenced = !restarted && worker.fence == Fence::Raised;
         if fenced {
--- a/components/shard/src/state.rs
+++ b/components/shard/src/state.rs
@@ -248,9 +248,11 @@
                 continue;
             }
             worker.polling = true;
-            let known = worker.reachability == Reachability::Reachable
-                && !worker.lease_noted
-                && !worker.restart_listed();
+            // A poll that meets another incarnation must grant nothing by its clock and acknowledge none of its ends.
+            let current = worker.reachability == Reachability::Reachable && !worker.restart_listed();
+            let known = current && !worker.lease_noted;
+            let unacked = current && worker.ends_stored > worker.ends_acked;
+            worker.poll_acked = if unacked { worker.ends_stored } else { 0 };
             let lease_until =
                 worker.estimated_clock(self.now).filter(|_| known).map(|c| c + self.timing.lease);
             if lease_until.is_some() {
@@ -265,7 +267,7 @@
                 worker: worker.info.id.clone(),
                 addr: worker.info.addr.clone(),
                 lease_until,
-                acked: worker.ends_stored,
+                acked: worker.poll_acked,
                 wait,
                 token: worker.token,
             });
--- a/components/shard/src/worker.rs
+++ b/components/shard/src/worker.rs
@@ -171,6 +171,10 @@
     pub ends_known: bool,
     /// Highest sequence number among the ends whose effects are stored.
     pub ends_stored: u64,
+    /// Highest sequence number that a poll has acknowledged to this incarnation.
+    pub ends_acked: u64,
+    /// Sequence number that the last poll acknowledges; 0 for none.
+    pub poll_acked: u64,
     /// Last reading of its clock, and when it was received.
     pub clock: Option<(u64, Ms)>,
     /// When the leases have expired that this owner granted this incarnation, unless it is reached again; 0 if it
@@ -227,6 +231,8 @@
             ends_seen: 0,
             ends_known: false,
             ends_stored: 0,
+            ends_acked: 0,
+            poll_acked: 0,
             clock: None,
             lease_end: 0,
             stray_lease_end: 0,
--- a/components/shard/tests/fleet/restarts.rs
+++ b/components/shard/tests/fleet/restarts.rs
@@ -150,6 +150,27 @@
     }
 }
 
+/// Guards against an end of the next incarnation that is acknowledged by the count of the earlier one.
+#[gtest]
+fn a_poll_that_may_meet_another_incarnation_acknowledges_nothing() {
+    let mut fleet = fleet();
+    fleet.work_ms = 200;
+    fleet.submit(job("b", vec![step(3, 100)]));
+    fleet.advance(1_500);
+    advance_to_answer(&mut fleet);
+    fleet.advance(TIMING.poll_wait - 20);
+    // The next poll is lost, and the start by which it is followed is not.
+    fleet.call_delay = Some(LATE_MS * 10);
+    advance_to_answer(&mut fleet);
+    fleet.call_delay = None;
+    fleet.crash("w0");
+    fleet.submit(job("a", vec![step(1, 100)]));
+    fleet.advance(50);
+    assert_eq!(starts(&fleet, "a"), 1);
+    fleet.advance(3_000);
+    expect_that!(starts(&fleet, "a"), eq(1));
+}
+
 /// Guards against starts by the earlier clock, and against a worker that stays unused as its entry is behind.
 #[gtest]
 fn no_starts_are_sent_to_an_incarnation_before_it_has_answered_a_poll() {
