A start without an answer is sent again instead of stopped

A start that got no answer and that the worker's next report did not list was stopped, again and again until the stop was answered. A call without an answer is carried out up to 12 s later: the start began the task in between, and a stop that arrived at last ended it at work.

The start is sent again to the same worker, under the same run number. A worker begins a run once, whichever request arrives first, so nothing has to be undone, and the task needs no other worker while a request is on its way. The poll after such a start waits for no end. A run is stopped only after six requests without an answer, or where the worker may not have the task any more; a long-running one only within the budget of its step. If a report shows it at work after all, before a stop was answered, it is kept; such a task does not count as in service while the stop may still arrive. A run makes progress from its confirmation on, not from its plan.

an_unanswered_start_is_sent_again_to_its_worker_instead_of_a_stop and a_task_leaves_a_worker_that_answers_no_start_of_it failed before.

--- a/components/shard/src/completion.rs
+++ b/components/shard/src/completion.rs
@@ -48,8 +48,8 @@
         if current && self.placed_on(&task, key) {
             let stalled = run.is_some_and(|r| r.stop_cause == StopCause::Stalled);
             self.with_task(&task, |t| {
-                if stalled && !t.avoided_workers.contains(&key) {
-                    t.avoided_workers.push(key);
+                if stalled {
+                    t.avoid(key);
                 }
             });
             let not_before = self.restart_at(&task);
@@ -71,7 +71,7 @@
 
     fn restart_at(&self, task: &TaskRef) -> Ms {
         let Some(job) = self.jobs.get(&task.step_ref.job) else { return self.now };
-        let long_running = job.spec.steps.get(task.step_ref.step as usize).is_some_and(|s| s.long_running);
+        let long_running = self.is_long_running(task);
         let failures = job
             .occurrence(task.step_ref.occurrence)
             .and_then(|o| o.steps.get(task.step_ref.step as usize))
@@ -84,6 +84,11 @@
         }
     }
 
+    pub(crate) fn is_long_running(&self, task: &TaskRef) -> bool {
+        let job = self.jobs.get(&task.step_ref.job);
+        job.and_then(|j| j.spec.steps.get(task.step_ref.step as usize)).is_some_and(|s| s.long_running)
+    }
+
     fn task_done(&mut self, key: WorkerKey, task: &TaskRef) {
         self.workers[key].failure_streak = 0;
         let Some(job) = self.jobs.get(&task.step_ref.job) else { return };
@@ -149,9 +154,7 @@
                 return;
             }
             first_failure = t.avoided_workers.is_empty();
-            if !t.avoided_workers.contains(&key) {
-                t.avoided_workers.push(key);
-            }
+            t.avoid(key);
             failures = t.failures;
         });
         if first_failure {
--- a/components/shard/src/drain.rs
+++ b/components/shard/src/drain.rs
@@ -5,7 +5,7 @@
 use crate::Ms;
 use crate::job::{TaskRef, TaskState};
 use crate::state::Shard;
-use crate::worker::{Reachability, RunPhase, StopCause, Worker, WorkerKey};
+use crate::worker::{LATE_CALL_MS, Reachability, RunPhase, StopCause, Worker, WorkerKey};
 
 /// Time in milliseconds after which a cordon ends unless it is renewed. Whoever cordoned the worker may be gone, or
 /// its request to end the cordon lost.
@@ -77,8 +77,7 @@
             return false;
         }
         if spec.long_running {
-            let budget = (spec.disruption_budget as usize).max(1);
-            return self.unavailable_tasks(task) < budget && self.fits_elsewhere(key, task);
+            return self.can_miss(task) && self.fits_elsewhere(key, task);
         }
         self.workers[key].cordoned(self.now)
             && spec.checkpointing
@@ -86,6 +85,13 @@
             && self.fits_elsewhere(key, task)
     }
 
+    /// Whether the disruption budget of its step, if it is a long-running one, allows a task to be stopped now.
+    pub(crate) fn can_miss(&self, task: &TaskRef) -> bool {
+        let job = self.jobs.get(&task.step_ref.job);
+        let Some(spec) = job.and_then(|j| j.spec.steps.get(task.step_ref.step as usize)) else { return true };
+        !spec.long_running || self.unavailable_tasks(task) < (spec.disruption_budget as usize).max(1)
+    }
+
     /// Number of other tasks of the step that are not in service.
     fn unavailable_tasks(&self, task: &TaskRef) -> usize {
         let Some(job) = self.jobs.get(&task.step_ref.job) else { return usize::MAX };
@@ -102,7 +108,9 @@
             let known = worker.reachability == Reachability::Reachable && self.prior_stops_done(worker);
             let run = worker.runs.get(&other).filter(|_| known);
             run.is_some_and(|r| {
-                matches!(r.phase, RunPhase::Running(_)) && r.progress_percent >= SERVING_PERCENT
+                // A stop without an answer may still end it.
+                let stopped = r.stop_sent_at != 0 && self.now < r.stop_sent_at + LATE_CALL_MS;
+                matches!(r.phase, RunPhase::Running(_)) && r.progress_percent >= SERVING_PERCENT && !stopped
             })
         };
         (0..)
--- a/components/shard/src/job.rs
+++ b/components/shard/src/job.rs
@@ -222,6 +222,13 @@
 }
 
 impl Task {
+    /// Lets it start on this worker only if no other takes it.
+    pub fn avoid(&mut self, key: WorkerKey) {
+        if !self.avoided_workers.contains(&key) {
+            self.avoided_workers.push(key);
+        }
+    }
+
     /// Counts the failure of a run; returns false if it was counted before. If copies are allowed, a `current` run, one in
     /// its worker's table, may have a lower number than one that was counted.
     pub fn count_failure(&mut self, run: u32, copies_allowed: bool, current: bool) -> bool {
--- a/components/shard/src/report.rs
+++ b/components/shard/src/report.rs
@@ -1,6 +1,6 @@
 //! Replies of workers: reconciles the shard's tables with the runs that workers report.
 
-use std::collections::HashMap;
+use std::collections::HashSet;
 
 use crate::Ms;
 use crate::job::{TaskRef, TaskState};
@@ -169,24 +169,30 @@
     /// Compares the runs that a worker reports with those in its table. Runs that are missing are lost, unless their
     /// ends may follow, or their starts may still reach the worker: a restarted one, too.
     fn reconcile(&mut self, key: WorkerKey, sent: Ms, report: &WorkerReport) {
-        let now = self.now;
-        let mut reported: HashMap<TaskRef, u32> = HashMap::new();
         self.workers[key].unknown_runs.clear();
+        let mut reported: Vec<(TaskRef, &RunStatus)> = Vec::with_capacity(report.running.len());
         for status in &report.running {
-            let Some(task) = self.task_ref(&status.task_id).filter(|t| self.knows_task(t)) else {
-                self.workers[key].unknown_runs.push((status.task_id.clone(), status.run));
-                continue;
-            };
-            reported.insert(task, status.run);
-            self.observe_run(key, task, status);
+            match self.task_ref(&status.task_id).filter(|t| self.knows_task(t)) {
+                Some(task) => reported.push((task, status)),
+                None => self.workers[key].unknown_runs.push((status.task_id.clone(), status.run)),
+            }
         }
-        if report.more_ends {
-            return;
+        let listed = reported.iter().map(|(task, status)| (*task, status.run)).collect();
+        for (task, status) in reported {
+            self.observe_run(key, task, sent, status);
+        }
+        if !report.more_ends {
+            self.drop_missing_runs(key, sent, &listed);
         }
+    }
+
+    /// Drops the runs that are missing in a worker's report, and follows up starts that it does not show.
+    fn drop_missing_runs(&mut self, key: WorkerKey, sent: Ms, listed: &HashSet<(TaskRef, u32)>) {
+        let now = self.now;
         let incarnation = self.workers[key].incarnation;
-        let mut lost = Vec::new();
-        for (task, run) in &mut self.workers[key].runs {
-            if reported.get(task) == Some(&run.number) {
+        let (mut lost, mut unanswered) = (Vec::new(), Vec::new());
+        for (task, run) in &self.workers[key].runs {
+            if listed.contains(&(*task, run.number)) {
                 continue;
             }
             match run.phase {
@@ -194,10 +200,16 @@
                 // The poll carried a higher fencing token, so a delayed start of an earlier owner is
                 // rejected.
                 RunPhase::Inherited => lost.push((*task, run.number)),
-                RunPhase::Unconfirmed(at) if at < sent => run.stop(StopCause::Unanswered),
+                RunPhase::Unconfirmed(at) if at < sent => unanswered.push(*task),
                 _ => {}
             }
         }
+        for task in unanswered {
+            // Another run of the task has to end there first.
+            if !listed.iter().any(|(t, _)| *t == task) {
+                self.follow_up_start(key, task);
+            }
+        }
         for (task, run) in lost {
             let task_id = self.task_id(&task).map(|n| n.to_string());
             tracing::info!(worker = %self.workers[key].info.id, task = task_id, run, incarnation, "shard: run disappeared without reporting its end");
@@ -215,22 +227,29 @@
     }
 
     /// Updates a run from a report; adopts it if it is not in the worker's table.
-    fn observe_run(&mut self, key: WorkerKey, task: TaskRef, status: &RunStatus) {
+    fn observe_run(&mut self, key: WorkerKey, task: TaskRef, sent: Ms, status: &RunStatus) {
         let now = self.now;
         let known = self.workers[key].runs.get(&task).map(|r| r.number);
         if known.is_none_or(|n| n < status.run) {
             self.adopt_run(key, task, status.run);
         }
-        let done = self.task_state(&task) == Some(TaskState::Done);
+        let (state, timing) = (self.task_state(&task), self.timing);
+        let done = state == Some(TaskState::Done);
         let Some(run) = self.workers[key].runs.get_mut(&task) else { return };
         if run.number != status.run {
             self.workers[key].unknown_runs.push((status.task_id.clone(), status.run));
             return;
         }
-        if matches!(run.phase, RunPhase::Sent | RunPhase::Unconfirmed(_) | RunPhase::Inherited)
-            && run.stop_sent_at == 0
-        {
+        let begun = matches!(run.phase, RunPhase::Sent | RunPhase::Unconfirmed(_) | RunPhase::Inherited)
+            && run.stop_sent_at == 0;
+        // The start was carried out after all, before a stop that has not been answered either.
+        let kept = run.phase == RunPhase::Stopping
+            && run.stop_cause == StopCause::Unanswered
+            && sent >= run.stop_sent_at + timing.request_timeout
+            && state == Some(TaskState::Placed(key));
+        if begun || kept {
             run.phase = RunPhase::Running(now);
+            run.progressed_at = now;
             if done {
                 run.stop(StopCause::Superseded);
             }
@@ -297,6 +316,8 @@
             number,
             token: 0,
             phase: RunPhase::Sent,
+            tries: 0,
+            unanswered_at: 0,
             planned_at: self.now,
             reserved: step.reservation(),
             charge: step.charge(),
--- a/components/shard/src/starts.rs
+++ b/components/shard/src/starts.rs
@@ -1,29 +1,85 @@
 //! Start requests: when one may be sent, and what its answer says of the run.
+//!
+//! A start without an answer may have been carried out, or may be carried out seconds later. It is sent again to the same
+//! worker under the same run number: there the run begins once, whichever request arrives first. A stop would be no
+//! safer, as it can meet a task that has been at work for seconds, and the task would have to start elsewhere while the
+//! first request is still on its way. Only a worker that leaves several requests for a run without an answer, or that
+//! may not have the run any more, is told to stop it, and the task moves once that is confirmed.
 
 use crate::Verdict;
 use crate::io::{Action, StartReply, StartRequest};
 use crate::job::TaskRef;
 use crate::model::TaskId;
 use crate::state::Shard;
-use crate::worker::{Fence, Reachability, Run, RunPhase, WorkerKey};
+use crate::worker::{Fence, Reachability, RunPhase, StopCause, WorkerKey};
+
+/// Start requests for a run after which it is stopped if none is answered; with half of the calls unanswered, one run in
+/// 64.
+const MAX_START_TRIES: u32 = 6;
+
+/// What follows for a run whose start has not been answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Unanswered {
+    /// Send the request again.
+    Repeat,
+    /// Stop the run.
+    Stop,
+    /// Decide after a later answer of the worker.
+    Wait,
+}
 
 impl Shard {
-    /// Sends start requests for planned runs that the log has recorded.
+    /// Sends start requests for planned runs that the log has recorded, and for those to be started again.
     pub(crate) fn send_starts(&mut self) {
         for (key, task, number) in std::mem::take(&mut self.pending_starts) {
-            let planned = |r: &&Run| r.number == number && r.phase == RunPhase::Planned;
-            if self.workers.get(key).and_then(|w| w.runs.get(&task)).filter(planned).is_none() {
+            let run = self.workers.get(key).and_then(|w| w.runs.get(&task));
+            let Some(phase) = run.filter(|r| r.number == number).map(|r| r.phase) else { continue };
+            if !matches!(phase, RunPhase::Planned | RunPhase::Unconfirmed(_)) {
                 continue;
             }
             if let Some(request) = self.start_request(key, &task, number) {
                 self.actions.push(Action::Start(request));
-            } else {
+            } else if phase == RunPhase::Planned {
                 self.drop_unstarted_run(key, task);
             }
         }
     }
 
-    /// Builds the start request of a planned run; `None` if the worker or the job no longer allows it.
+    /// Sends the start of a run again that a worker's report does not show, or stops the run.
+    pub(crate) fn follow_up_start(&mut self, key: WorkerKey, task: TaskRef) {
+        let next = self.after_no_answer(key, &task);
+        let Some(run) = self.workers[key].runs.get_mut(&task) else { return };
+        match next {
+            Unanswered::Repeat => self.pending_starts.push((key, task, run.number)),
+            Unanswered::Stop => {
+                run.stop(StopCause::Unanswered);
+                if run.tries >= MAX_START_TRIES {
+                    self.with_task(&task, |t| t.avoid(key));
+                }
+            }
+            Unanswered::Wait => {}
+        }
+    }
+
+    fn after_no_answer(&self, key: WorkerKey, task: &TaskRef) -> Unanswered {
+        let worker = &self.workers[key];
+        let Some(run) = worker.runs.get(task) else { return Unanswered::Wait };
+        let open = self.jobs.get(&task.step_ref.job).is_some_and(|j| j.verdict == Verdict::Open);
+        let answers = worker.reachability == Reachability::Reachable && worker.fence != Fence::Raised;
+        if !open || !answers || worker.restart_listed() || worker.lease_noted {
+            return Unanswered::Wait;
+        }
+        let zone_out = self.zones_out.contains(&worker.info.zone);
+        let allowed =
+            worker.info.ready && !worker.cordoned(self.now) && !zone_out && worker.fence == Fence::Up;
+        if allowed && (run.tries < MAX_START_TRIES || !self.can_miss(task)) {
+            Unanswered::Repeat
+        } else {
+            Unanswered::Stop
+        }
+    }
+
+    /// Builds the start request of a run; `None` if the worker or the job does not allow it now.
     fn start_request(&mut self, key: WorkerKey, task: &TaskRef, number: u32) -> Option<StartRequest> {
         let now = self.now;
         let task_id = self.task_id(task)?;
@@ -53,6 +109,7 @@
         let run = worker.runs.get_mut(task)?;
         run.phase = RunPhase::Sent;
         run.token = worker.token;
+        run.tries += 1;
         job.started = true;
         Some(StartRequest {
             worker: worker.info.id.clone(),
@@ -78,10 +135,12 @@
             StartReply::Running => {
                 if run.phase == RunPhase::Sent {
                     run.phase = RunPhase::Running(now);
+                    run.progressed_at = now;
                     run.basis = Some((0, now));
                 }
             }
             StartReply::NoAnswer => {
+                run.unanswered_at = now;
                 if run.phase == RunPhase::Sent {
                     run.phase = RunPhase::Unconfirmed(now);
                 }
@@ -94,7 +153,7 @@
             | StartReply::NotSent => {
                 // A poll may have confirmed the run meanwhile; the poll takes precedence.
                 if matches!(run.phase, RunPhase::Sent | RunPhase::Stopping) {
-                    self.drop_unstarted_run(key, task);
+                    self.start_failed(key, task, reply);
                 }
                 // A start that was sent for an earlier incarnation says nothing of this one.
                 if reply != StartReply::Fenced {
@@ -103,4 +162,18 @@
             }
         }
     }
+
+    /// Handles that a start request has not begun the run. An earlier one without an answer may still do so.
+    fn start_failed(&mut self, key: WorkerKey, task: TaskRef, reply: StartReply) {
+        let now = self.now;
+        let Some(run) = self.workers[key].runs.get_mut(&task) else { return };
+        let settled = run.unanswered_at == 0 || reply == StartReply::OtherLife;
+        match reply {
+            _ if settled => self.drop_unstarted_run(key, task),
+            StartReply::NotSent | StartReply::Fenced if run.phase == RunPhase::Sent => {
+                run.phase = RunPhase::Unconfirmed(now);
+            }
+            _ => run.stop(StopCause::Unanswered),
+        }
+    }
 }
--- a/components/shard/src/state.rs
+++ b/components/shard/src/state.rs
@@ -260,7 +260,8 @@
             }
             let copies_allowed = worker.runs.values().any(|r| r.copies_allowed);
             let longest = if copies_allowed { COPY_POLL_MS } else { Ms::MAX };
-            let confirming = worker.fence == Fence::Raised;
+            let confirming = worker.fence == Fence::Raised || worker.start_unanswered();
+            worker.polled_at = self.now;
             let wait = if !known || pending || confirming { 0 } else { self.timing.poll_wait.min(longest) };
             worker.poll_wait = wait;
             self.actions.push(Action::Poll {
--- a/components/shard/src/worker.rs
+++ b/components/shard/src/worker.rs
@@ -8,7 +8,7 @@
 use crate::model::{Resources, TaskId};
 
 /// Longest time after which the platform carries out a call to a worker that it left without an answer.
-const LATE_CALL_MS: Ms = 12_000;
+pub(crate) const LATE_CALL_MS: Ms = 12_000;
 
 /// Index of a worker in the shard's table.
 pub(crate) type WorkerKey = u32;
@@ -43,7 +43,7 @@
     Sent,
     /// Confirmed at this time, by a start reply or a poll.
     Running(Ms),
-    /// The start request went unanswered at this time. The next poll confirms the run, or it is stopped.
+    /// The start request went unanswered at this time. A poll confirms the run, or the request is sent again.
     Unconfirmed(Ms),
     /// Recorded by an earlier owner; the worker has not been polled yet.
     Inherited,
@@ -60,6 +60,10 @@
     /// Fencing token of its start request; 0 if this owner sent none.
     pub token: u64,
     pub phase: RunPhase,
+    /// Start requests that this owner has sent for it.
+    pub tries: u32,
+    /// When the last of them went without an answer; 0 if each was answered.
+    pub unanswered_at: Ms,
     pub planned_at: Ms,
     /// Capacity that it reserves on the worker.
     pub reserved: Resources,
@@ -197,6 +201,8 @@
     pub unknown_runs: Vec<(TaskId, u32)>,
     /// A poll is in progress.
     pub polling: bool,
+    /// When the last poll was sent.
+    pub polled_at: Ms,
     /// Longest wait of its last poll in milliseconds.
     pub poll_wait: Ms,
     /// When the next poll is due.
@@ -243,6 +249,7 @@
             runs: HashMap::new(),
             unknown_runs: Vec::new(),
             polling: false,
+            polled_at: 0,
             poll_wait: 0,
             poll_at: now,
             failure_streak: 0,
@@ -304,6 +311,11 @@
         if silent { self.leases_end(timing).saturating_sub(now) } else { 0 }
     }
 
+    /// Whether a start has gone without an answer since the last poll was sent.
+    pub fn start_unanswered(&self) -> bool {
+        self.runs.values().any(|r| matches!(r.phase, RunPhase::Unconfirmed(at) if at >= self.polled_at))
+    }
+
     /// When it last answered a poll; 0 if it has answered none since it was last lost.
     pub fn answered_at(&self) -> Ms {
         self.clock.map_or(0, |(_, read)| read)
--- a/components/shard/tests/fleet/main.rs
+++ b/components/shard/tests/fleet/main.rs
@@ -17,3 +17,4 @@
 mod slow_log;
 mod standstill;
 mod support;
+mod unanswered;
--- a/components/shard/tests/fleet/support.rs
+++ b/components/shard/tests/fleet/support.rs
@@ -54,6 +54,8 @@
     pub log_answers: usize,
     /// Replies to start requests are lost.
     pub drop_start_replies: bool,
+    /// Starts to this worker are lost.
+    pub lose_starts_to: Option<String>,
     /// Starts and polls reach their workers after this time, and are not answered.
     pub call_delay: Option<Ms>,
     /// Calls on their way, by the time at which they arrive.
@@ -106,6 +108,7 @@
             slow_append: None,
             log_answers: 0,
             drop_start_replies: false,
+            lose_starts_to: None,
             call_delay: None,
             late_calls: Vec::new(),
             work_ms: 500,
--- /dev/null
+++ b/components/shard/tests/fleet/unanswered.rs
@@ -0,0 +1,52 @@
+//! Starts that get no answer and are carried out seconds later, at the incarnation that they were meant for or the next.
+
+use crate::support::{Fleet, TICK_MS, job, long_running, step};
+use googletest::prelude::*;
+use shard::Ms;
+
+/// A fleet of two workers, and the worker to which the start of the only task of job `a` is on its way.
+fn fleet_with_late_start(delay: Ms) -> (Fleet, String) {
+    let mut fleet = Fleet::known(2, 4_000);
+    fleet.work_ms = 60_000;
+    fleet.call_delay = Some(delay);
+    fleet.submit(job("a", vec![step(1, 100)]));
+    fleet.advance(50);
+    fleet.call_delay = None;
+    let worker = fleet.start_requests[0].worker.clone();
+    (fleet, worker)
+}
+
+fn runs(fleet: &Fleet) -> usize {
+    fleet.workers.values().map(|w| w.running.len()).sum()
+}
+
+/// Guards against a stop that ends a long-running task after a late start has put it to work.
+#[gtest]
+fn an_unanswered_start_is_sent_again_to_its_worker_instead_of_a_stop() {
+    let mut fleet = Fleet::known(2, 4_000);
+    fleet.call_delay = Some(3_000);
+    fleet.submit(long_running("a", 1, 100));
+    fleet.advance(50);
+    fleet.call_delay = None;
+    fleet.advance(6_000);
+    let first = &fleet.start_requests[0];
+    expect_true!(fleet.start_requests.iter().all(|r| r.worker == first.worker && r.run == first.run));
+    expect_that!(fleet.stops, is_empty());
+    expect_that!(runs(&fleet), eq(1));
+}
+
+/// Guards against a task that waits for a worker which takes no starts but answers polls.
+#[gtest]
+fn a_task_leaves_a_worker_that_answers_no_start_of_it() {
+    let (mut fleet, first) = fleet_with_late_start(60_000);
+    for _ in 0..2_500 {
+        // Each further start to this worker is delayed as well, its polls are not.
+        let due = fleet.start_requests.last().is_some_and(|r| r.worker == first);
+        fleet.lose_starts_to = due.then(|| first.clone());
+        fleet.advance(TICK_MS);
+    }
+    let last = fleet.start_requests.last().expect("a start");
+    expect_that!(last.worker, not(eq(&first)));
+    expect_that!(fleet.stops.len(), eq(1));
+    expect_that!(runs(&fleet), eq(1));
+}
--- a/components/shard/tests/fleet/worker_calls.rs
+++ b/components/shard/tests/fleet/worker_calls.rs
@@ -18,7 +18,9 @@
         let reply = if let Some(delay) = self.call_delay {
             self.late_calls.push((now + delay, LateCall::Start(request.clone())));
             StartReply::NoAnswer
-        } else if self.workers[&request.worker].is_unreachable(epoch) {
+        } else if self.workers[&request.worker].is_unreachable(epoch)
+            || self.lose_starts_to.as_ref() == Some(&request.worker)
+        {
             StartReply::NoAnswer
         } else {
             self.start_run(&request)
