A task stays with the worker that an unanswered start may still reach

Callers can see two runs of a task at a time, or one after another run was done: a start without an answer is carried out up to 12 s later. The worker refuses it if the run was stopped or has ended there, but an incarnation that has started since knows nothing of that, and takes it until the owner's raised token arrives. By then the task had been started elsewhere: after a stop was confirmed, after a restart, or once the lease was over.

Until no request for an earlier run can be on its way, the task starts on that worker only, where a restart ends the newer run as well and the raised token bars the request. It waits while that worker is silent or takes no tasks; a long-running task, and any task once the list has dropped the worker, waits no longer than the worker's leases, as before. It is free when the worker leaves or is cordoned. Steps that allow copies are not bound.

--- a/components/shard/src/completion.rs
+++ b/components/shard/src/completion.rs
@@ -199,6 +199,7 @@
     pub(crate) fn remove_run(&mut self, key: WorkerKey, task: &TaskRef) -> Option<Run> {
         let run = self.workers.get_mut(key)?.remove_run(task)?;
         self.uncharge(&run);
+        self.bind_task(task, key, &run);
         Some(run)
     }
 
--- a/components/shard/src/drain.rs
+++ b/components/shard/src/drain.rs
@@ -76,6 +76,10 @@
         if !matches!(run.phase, RunPhase::Running(_)) {
             return false;
         }
+        let bound = self.now < run.starts_over();
+        if bound && !self.workers[key].cordoned(self.now) {
+            return false;
+        }
         if spec.long_running {
             return self.can_miss(task) && self.fits_elsewhere(key, task);
         }
--- a/components/shard/src/job.rs
+++ b/components/shard/src/job.rs
@@ -74,6 +74,8 @@
     pub avoided_workers: Vec<WorkerKey>,
     /// Earliest start.
     pub not_before: Ms,
+    /// Worker that an earlier start request may still reach, and until when.
+    pub bound: Option<(WorkerKey, Ms)>,
 }
 
 /// A step of an occurrence.
@@ -268,6 +270,7 @@
             checkpoint: String::new(),
             avoided_workers: Vec::new(),
             not_before: 0,
+            bound: None,
         };
         let tasks = (0..count).map(|_| task()).collect();
         Self { tasks, done_count: 0, waiting_count: count, took: 0.0, measured: 0 }
--- a/components/shard/src/lib.rs
+++ b/components/shard/src/lib.rs
@@ -13,6 +13,7 @@
 mod admission;
 mod arrivals;
 mod batch;
+mod binding;
 mod cancel;
 mod candidates;
 mod completion;
--- a/components/shard/src/placement.rs
+++ b/components/shard/src/placement.rs
@@ -1,5 +1,6 @@
 //! Placement of tasks on workers.
 
+use crate::binding::Binding;
 use crate::candidates::Pass;
 use crate::job::{StepRef, TaskRef, TaskState};
 use crate::model::{Resources, StepSpec, Verdict};
@@ -27,6 +28,8 @@
     OverQuota,
     /// The quota is too small, and more of it would not start the task.
     Unplaceable,
+    /// The only worker that may take it cannot do so now.
+    Held,
 }
 
 impl Shard {
@@ -93,7 +96,7 @@
         }
         for index in tasks {
             match self.place_task(TaskRef { step_ref, index }, &spec, pass) {
-                Placement::Placed => {}
+                Placement::Placed | Placement::Held => {}
                 Placement::OverQuota => {
                     self.note_quota_shortage(step_ref, spec.charge());
                     return;
@@ -189,6 +192,15 @@
         if !self.within_quota(&task, spec) {
             return self.classify_quota_shortage(&task, spec, pass);
         }
+        match self.binding(&task) {
+            Binding::Free => {}
+            Binding::To(key) if self.has_room(key, &task, spec, pass) => {
+                self.plan_run(task, key);
+                pass.refresh(key, &self.workers[key]);
+                return Placement::Placed;
+            }
+            Binding::To(_) | Binding::Held => return Placement::Held,
+        }
         match self.choose_candidate(&task, spec, pass) {
             Some(key) => {
                 debug_assert_eq!(
@@ -207,6 +219,15 @@
         }
     }
 
+    /// Whether a schedulable worker can take a task now.
+    fn has_room(&self, key: WorkerKey, task: &TaskRef, spec: &StepSpec, pass: &Pass) -> bool {
+        let service = self.jobs.get(&task.step_ref.job).map(|j| j.spec.service.as_str());
+        service.is_some_and(|s| self.eligible(key, &task.step_ref, spec, s))
+            && spec.reservation().fits(&self.workers[key].available())
+            && !pass.reserved.contains(&key)
+            && !self.probe_in_progress(key)
+    }
+
     /// Whether more quota would start a task. Looks for a worker only until a shortage of the customer is known.
     fn classify_quota_shortage(&self, task: &TaskRef, spec: &StepSpec, pass: &Pass) -> Placement {
         let Some(job) = self.jobs.get(&task.step_ref.job) else { return Placement::Unplaceable };
--- a/components/shard/src/report.rs
+++ b/components/shard/src/report.rs
@@ -191,15 +191,18 @@
         let now = self.now;
         let incarnation = self.workers[key].incarnation;
         let (mut lost, mut unanswered) = (Vec::new(), Vec::new());
-        for (task, run) in &self.workers[key].runs {
+        for (task, run) in &mut self.workers[key].runs {
             if listed.contains(&(*task, run.number)) {
                 continue;
             }
             match run.phase {
                 RunPhase::Running(at) | RunPhase::Stopped(at) if at < sent => lost.push((*task, run.number)),
                 // The poll carried a higher fencing token, so a delayed start of an earlier owner is
-                // rejected.
-                RunPhase::Inherited => lost.push((*task, run.number)),
+                // rejected by this incarnation.
+                RunPhase::Inherited => {
+                    run.unanswered_at = now;
+                    lost.push((*task, run.number));
+                }
                 RunPhase::Unconfirmed(at) if at < sent => unanswered.push(*task),
                 _ => {}
             }
--- a/components/shard/tests/fleet/unanswered.rs
+++ b/components/shard/tests/fleet/unanswered.rs
@@ -16,10 +16,25 @@
     (fleet, worker)
 }
 
+fn set_reachable(fleet: &mut Fleet, worker: &str, reachable: bool) {
+    fleet.workers.get_mut(worker).expect("a worker").unreachable = !reachable;
+}
+
 fn runs(fleet: &Fleet) -> usize {
     fleet.workers.values().map(|w| w.running.len()).sum()
 }
 
+/// Advances until so many starts have been sent.
+fn advance_to_start(fleet: &mut Fleet, number: usize) {
+    for _ in 0..1_000 {
+        if fleet.start_requests.len() >= number {
+            return;
+        }
+        fleet.advance(TICK_MS);
+    }
+    panic!("start {number} was not sent");
+}
+
 /// Guards against a stop that ends a long-running task after a late start has put it to work.
 #[gtest]
 fn an_unanswered_start_is_sent_again_to_its_worker_instead_of_a_stop() {
@@ -50,3 +65,32 @@
     expect_that!(fleet.stops.len(), eq(1));
     expect_that!(runs(&fleet), eq(1));
 }
+
+/// Guards against two runs of a task, one of them begun in the next incarnation of a worker by a start whose run had been
+/// stopped in the earlier one.
+#[gtest]
+fn a_late_start_in_the_next_incarnation_meets_no_other_run() {
+    let (mut fleet, first) = fleet_with_late_start(6_000);
+    fleet.advance(2_000);
+    fleet.crash(&first);
+    set_reachable(&mut fleet, &first, false);
+    fleet.advance(6_000);
+    set_reachable(&mut fleet, &first, true);
+    fleet.advance(10_000);
+    expect_that!(runs(&fleet), eq(1));
+}
+
+/// Guards against the same after a restart that ended the run.
+#[gtest]
+fn a_task_is_started_again_on_the_worker_that_an_earlier_start_may_reach() {
+    let (mut fleet, first) = fleet_with_late_start(9_000);
+    // Tasks go to the worker with the least room.
+    fleet.listed.iter_mut().filter(|w| w.id != first).for_each(|w| w.capacity.cpu = 200);
+    fleet.send_worker_list();
+    advance_to_start(&mut fleet, 2);
+    fleet.advance(100);
+    fleet.crash(&first);
+    advance_to_start(&mut fleet, 3);
+    expect_that!(fleet.start_requests[2].worker, eq(&first));
+    expect_that!(fleet.start_requests[2].run, gt(fleet.start_requests[0].run));
+}
