A report's missing runs are dropped before its listed ones are judged

A long-running task can lose its only run (AVAIL) after a restart of its worker. If a late start of an earlier run begins in the next incarnation, the first report lists that run, while the table still has the later run of the incarnation before. The listed run was judged first: it was not the one in the table, so it was stopped as a stranger; then the other one was found to be gone.

Runs that the report shows to be lost are dropped first, so that the listed one is adopted.

--- a/components/shard/src/report.rs
+++ b/components/shard/src/report.rs
@@ -177,13 +177,13 @@
                 None => self.workers[key].unknown_runs.push((status.task_id.clone(), status.run)),
             }
         }
-        let listed = reported.iter().map(|(task, status)| (*task, status.run)).collect();
-        for (task, status) in reported {
-            self.observe_run(key, task, sent, status);
-        }
         if !report.more_ends {
+            let listed = reported.iter().map(|(task, status)| (*task, status.run)).collect();
             self.drop_missing_runs(key, sent, &listed);
         }
+        for (task, status) in reported {
+            self.observe_run(key, task, sent, status);
+        }
     }
 
     /// Drops the runs that are missing in a worker's report, and follows up starts that it does not show.
--- a/components/shard/tests/fleet/unanswered.rs
+++ b/components/shard/tests/fleet/unanswered.rs
@@ -94,3 +94,24 @@
     expect_that!(fleet.start_requests[2].worker, eq(&first));
     expect_that!(fleet.start_requests[2].run, gt(fleet.start_requests[0].run));
 }
+
+/// Guards against a stop of the only run of a task, as its owner takes the run of an earlier incarnation to go on.
+#[gtest]
+fn the_only_run_of_a_task_is_kept_if_a_late_start_began_it_in_the_next_incarnation() {
+    let (mut fleet, first) = fleet_with_late_start(11_000);
+    advance_to_start(&mut fleet, 2);
+    fleet.advance(100);
+    fleet.crash(&first);
+    advance_to_start(&mut fleet, 3);
+    fleet.advance(300);
+    fleet.crash(&first);
+    set_reachable(&mut fleet, &first, false);
+    while runs(&fleet) == 0 {
+        fleet.advance(TICK_MS);
+    }
+    set_reachable(&mut fleet, &first, true);
+    fleet.advance(3_000);
+    expect_that!(fleet.stops, is_empty());
+    expect_that!(fleet.start_requests.len(), eq(3));
+    expect_that!(runs(&fleet), eq(1));
+}
