A silent worker's token is raised before it answers again

Callers can see a task run again after it was done, or twice at a time: an owner raised its fencing token for a worker when an answer showed the restart, so calls for the earlier incarnation were barred by the poll after that one.

The token of a worker that falls silent while calls to it may be carried out late is raised at once. Whichever incarnation answers next has then seen it, and a restarted one gets starts one answer earlier. 24 tokens of a generation are kept for restarts, so that silences cannot use them up; without a spare one it is as before. A worker that is silent without a restart is waited for as before.

the_first_answer_after_a_silence_bars_the_calls_from_before failed before.

--- a/components/shard/src/batch.rs
+++ b/components/shard/src/batch.rs
@@ -9,7 +9,7 @@
 use crate::job::{JobKey, TaskRef};
 use crate::record::{self, Record, RunRecord, WorkerRecord};
 use crate::state::Shard;
-use crate::worker::{Fence, RunPhase, WorkerKey};
+use crate::worker::{RunPhase, WorkerKey};
 
 /// Bytes after which a batch takes no further records. The store appends 2 MiB at a time, and the last job's two
 /// records may add half a MiB.
@@ -146,7 +146,7 @@
                     lease_left,
                     stray_lease_left,
                     incarnation: worker.incarnation,
-                    unfenced: worker.fence != Fence::Up,
+                    unfenced: worker.is_unfenced(),
                 }));
                 let worker = &mut self.workers[key];
                 worker.recorded = !worker.runs.is_empty();
--- a/components/shard/src/report.rs
+++ b/components/shard/src/report.rs
@@ -8,6 +8,9 @@
 use crate::state::Shard;
 use crate::worker::{Fence, Reachability, Run, RunPhase, StopCause, WorkerKey};
 
+/// Fencing tokens that silences of a worker leave to its restarts, of the 47 in a generation of the group.
+const TOKENS_FOR_RESTARTS: u64 = 24;
+
 /// How a run ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunOutcome {
@@ -82,10 +85,13 @@
             let worker = &self.workers[key];
             worker.incarnation != 0 && worker.incarnation != report.incarnation
         };
+        let renewed = self.workers[key].fence == Fence::Renewed;
         if restarted {
             self.log_restart(key, report);
             self.drop_planned_at(key);
-            self.raise_token(key);
+            if !renewed {
+                self.raise_token(key);
+            }
             // A later owner must not wait for the runs of the earlier incarnation.
             self.dirty_workers.insert(key);
         }
@@ -107,11 +113,11 @@
         } else {
             worker.ends_acked = worker.ends_acked.max(worker.poll_acked);
         }
-        let fenced = !restarted && worker.fence == Fence::Raised;
-        if fenced {
+        let confirmed = !restarted && worker.fence == Fence::Raised;
+        if confirmed || renewed {
             worker.fence = Fence::Up;
         }
-        if met || fenced {
+        if met || confirmed {
             worker.stray_lease_end = now + longest_lease;
         }
         worker.reachability = Reachability::Reachable;
@@ -157,6 +163,19 @@
         }
     }
 
+    /// Raises the fencing token of a silent worker that may carry out calls late, so that its next answer bars them,
+    /// whichever incarnation gives it.
+    fn renew_token(&mut self, key: WorkerKey) {
+        let worker = &mut self.workers[key];
+        let late_calls = worker.poll_acked > 0 || self.now < worker.late_until;
+        let spare = worker.token.saturating_add(TOKENS_FOR_RESTARTS) < self.tokens.limit;
+        if worker.fence == Fence::Up && late_calls && spare {
+            worker.token += 1;
+            worker.fence = Fence::Renewed;
+            self.tokens.last = self.tokens.last.max(worker.token);
+        }
+    }
+
     /// Drops the runs of a worker whose start requests have not been sent.
     fn drop_planned_at(&mut self, key: WorkerKey) {
         let planned = self.workers[key].runs.iter().filter(|(_, r)| r.phase == RunPhase::Planned);
@@ -359,6 +378,7 @@
             Reachability::Unreachable
         };
         worker.poll_at = self.now + crate::health::POLL_RETRY_MS;
+        self.renew_token(key);
     }
 
     pub(crate) fn stop_fenced(&mut self, id: &str, token: u64) {
--- a/components/shard/src/starts.rs
+++ b/components/shard/src/starts.rs
@@ -11,7 +11,7 @@
 use crate::job::TaskRef;
 use crate::model::TaskId;
 use crate::state::Shard;
-use crate::worker::{Fence, Reachability, RunPhase, StopCause, WorkerKey};
+use crate::worker::{Fence, LATE_CALL_MS, Reachability, RunPhase, StopCause, WorkerKey};
 
 /// Start requests for a run after which it is stopped if none is answered; with half of the calls unanswered, one run in
 /// 64.
@@ -144,6 +144,7 @@
                 if run.phase == RunPhase::Sent {
                     run.phase = RunPhase::Unconfirmed(now);
                 }
+                worker.late_until = now + LATE_CALL_MS;
             }
             StartReply::Fenced if run.token == token => self.fenced = true,
             StartReply::Fenced
--- a/components/shard/src/worker.rs
+++ b/components/shard/src/worker.rs
@@ -133,6 +133,8 @@
     Up,
     /// The token has been raised; the next answer to a poll confirms it.
     Raised,
+    /// The token has been raised while the worker is silent, so whichever incarnation answers next has seen it.
+    Renewed,
     /// The owner has no higher token left.
     Missing,
 }
@@ -169,6 +171,8 @@
     /// Fencing token of the calls to it.
     pub token: u64,
     pub fence: Fence,
+    /// Until when a start that it left without an answer may be carried out.
+    pub late_until: Ms,
     /// Highest sequence number among the ends reported by this incarnation.
     pub ends_seen: u64,
     /// The number of its next end is known: this owner has met its predecessor, or seen an end of it.
@@ -234,6 +238,7 @@
             listed_at: now,
             token,
             fence: Fence::Up,
+            late_until: 0,
             ends_seen: 0,
             ends_known: false,
             ends_stored: 0,
@@ -290,6 +295,11 @@
             && now >= self.backoff_until
     }
 
+    /// Whether calls for an earlier incarnation can still act on the one that has answered.
+    pub const fn is_unfenced(&self) -> bool {
+        matches!(self.fence, Fence::Raised | Fence::Missing)
+    }
+
     /// Whether its entry shows an incarnation that has not answered a poll yet.
     pub const fn restart_listed(&self) -> bool {
         let listed = self.info.incarnation;
@@ -301,7 +311,7 @@
     pub fn leases_end(&self, timing: &Timing) -> Ms {
         let excess = if self.lease_end != 0 && self.restart_listed() { timing.clock_excess() } else { 0 };
         let end = (self.lease_end + excess).max(self.stray_lease_end);
-        let unfenced = self.restart_listed() || self.fence != Fence::Up;
+        let unfenced = self.restart_listed() || self.is_unfenced();
         if end != 0 && self.listed && unfenced { end + LATE_CALL_MS } else { end }
     }
 
--- a/components/shard/tests/fleet/unanswered.rs
+++ b/components/shard/tests/fleet/unanswered.rs
@@ -115,3 +115,21 @@
     expect_that!(fleet.start_requests.len(), eq(3));
     expect_that!(runs(&fleet), eq(1));
 }
+
+/// Guards against a late start that the next incarnation takes after its first answer to the owner.
+#[gtest]
+fn the_first_answer_after_a_silence_bars_the_calls_from_before() {
+    let (mut fleet, first) = fleet_with_late_start(6_000);
+    fleet.advance(600);
+    set_reachable(&mut fleet, &first, false);
+    fleet.advance(2_000);
+    fleet.crash(&first);
+    set_reachable(&mut fleet, &first, true);
+    let token = fleet.workers[&first].fencing_token;
+    while fleet.workers[&first].fencing_token == token {
+        fleet.advance(TICK_MS);
+    }
+    set_reachable(&mut fleet, &first, false);
+    fleet.advance(5_000);
+    expect_that!(fleet.workers[&first].starts, is_empty());
+}
