Storms of late calls at the simulated fleet, with the platform's rules checked

What it guards against: a call reaches another life of its worker than the one it was meant for, or arrives after its owner reckoned with it. The simulated workers keep to the protocol in what only such calls show; all this is off unless a fleet has troubles.

--- a/components/shard/tests/fleet/fake_worker.rs
+++ b/components/shard/tests/fleet/fake_worker.rs
@@ -25,9 +25,21 @@
     pub incarnation: u64,
     /// When its clock stood at 0, which is later in each incarnation.
     pub clock_start: Ms,
+    /// By how much its clock is ahead of the time since then.
+    pub clock_ahead: Ms,
+    /// By how much its clock is slow, in percent.
+    pub clock_slow: u64,
+    /// Until when it is down after a crash.
+    pub down_until: Ms,
+    /// When its lease was last seen to have lapsed.
+    pub lapsed_at: Ms,
+    /// When each of the unacknowledged ends happened, by sequence number.
+    pub end_times: HashMap<u64, Ms>,
     pub fencing_token: u64,
     pub lease_end: Ms,
     pub running: BTreeMap<String, FakeRun>,
+    /// When stops of its runs take effect, by task; only with troubles.
+    pub stopping: HashMap<String, Ms>,
     pub ended: Vec<RunEnd>,
     /// Sequence number of the last end.
     pub ends: u64,
@@ -90,12 +102,17 @@
     }
 
     pub(super) const fn clock(&self, now: Ms) -> Ms {
-        now - self.clock_start
+        now.saturating_sub(self.clock_start) * 100 / (100 + self.clock_slow) + self.clock_ahead
+    }
+
+    /// Time that passes while its clock advances by a span.
+    const fn real_time(&self, span: Ms) -> Ms {
+        span * (100 + self.clock_slow) / 100
     }
 
     /// Extends the lease until this time on the worker's clock, but not beyond the longest lease.
     pub(super) fn extend_lease(&mut self, until: Ms, now: Ms) {
-        let end = (self.clock_start + until).min(now + LEASE_LIMIT_MS);
-        self.lease_end = self.lease_end.max(end);
+        let end = self.clock_start + self.real_time(until.saturating_sub(self.clock_ahead));
+        self.lease_end = self.lease_end.max(end.min(now + self.real_time(LEASE_LIMIT_MS)));
     }
 }
--- a/components/shard/tests/fleet/support.rs
+++ b/components/shard/tests/fleet/support.rs
@@ -4,6 +4,8 @@
 mod fake_worker;
 #[path = "log_pace.rs"]
 mod log_pace;
+#[path = "troubles.rs"]
+mod troubles;
 #[path = "worker_calls.rs"]
 mod worker_calls;
 
@@ -11,6 +13,7 @@
 
 pub use fake_worker::{FakeRun, FakeWorker};
 pub use log_pace::LogPace;
+pub use troubles::{Breach, Fate, Troubles, Violation};
 use worker_calls::LateCall;
 
 use shard::{
@@ -56,8 +59,10 @@
     pub drop_start_replies: bool,
     /// Starts and polls reach their workers after this time, and are not answered.
     pub call_delay: Option<Ms>,
-    /// Calls on their way, by the time at which they arrive.
-    late_calls: Vec<(Ms, LateCall)>,
+    /// Calls on their way.
+    late_calls: Vec<LateCall>,
+    /// Troubles of calls; their breaches of rules are collected.
+    pub troubles: Option<Box<Troubles>>,
     /// Work of each new run.
     pub work_ms: Ms,
     /// Work of a run, by its start request and `work_ms`.
@@ -108,6 +113,7 @@
             drop_start_replies: false,
             call_delay: None,
             late_calls: Vec::new(),
+            troubles: None,
             work_ms: 500,
             work_for: |_, work_ms| work_ms,
             speculative: HashSet::new(),
@@ -174,6 +180,7 @@
     /// Replaces the shard by that of a new owner, which recovers from the log.
     pub fn change_owner(&mut self) {
         self.epoch += 64;
+        self.note("", "", || "change of owner".into());
         self.shard = Shard::new(TIMING, self.epoch, self.now, WALL_CLOCK_START_MS + self.now);
         self.shard.load(self.log.iter().map(|(k, v)| (k.as_str(), v.as_slice())));
         self.append_pending = false;
@@ -214,6 +221,32 @@
         self.workers.get_mut(worker).expect("known worker").crash(now);
     }
 
+    /// Crashes a worker that starts again under its id after a time, with a clock that is ahead.
+    pub fn crash_for(&mut self, id: &str, down: Ms, clock_ahead: Ms) {
+        self.note(id, "", || format!("crash, down for {down}, next clock {clock_ahead}"));
+        let (now, clock_slow) = (self.now, self.workers[id].clock_slow);
+        self.crash(id);
+        let worker = self.workers.get_mut(id).expect("known worker");
+        worker.clock_slow = clock_slow;
+        worker.down_until = now + down;
+        worker.clock_start = now + down;
+        worker.clock_ahead = clock_ahead;
+        let (broken, rest) = std::mem::take(&mut self.polls).into_iter().partition(|(_, w, _)| w == id);
+        self.polls = rest;
+        let broken: VecDeque<(Ms, String, u64)> = broken;
+        for (_, worker, _) in broken {
+            self.delayed.push((now + TICK_MS, Input::PollFailed { worker, replaced: false, fenced: false }));
+        }
+    }
+
+    /// Adds a line to the trace of a fleet with troubles.
+    pub fn note(&mut self, worker: &str, task: &str, text: impl FnOnce() -> String) {
+        let now = self.now;
+        if let Some(troubles) = &mut self.troubles {
+            troubles.note(now, worker, task, text());
+        }
+    }
+
     /// Lists the present incarnation of a worker.
     pub fn list_incarnation(&mut self, worker: &str) {
         let incarnation = self.workers[worker].incarnation;
@@ -279,7 +312,9 @@
                 self.services.insert(request_id, services);
             }
             Action::Start(request) => self.start(request),
-            Action::Stop { worker, task_id, run, token, .. } => self.stop(&worker, &task_id, run, token),
+            Action::Stop { worker, task_id, run, token, cause, .. } => {
+                self.stop((&worker, &task_id, run), cause, token);
+            }
             Action::Throttle { percent, .. } => self.speeds.push(percent),
             Action::Poll { worker, lease_until, acked, wait, token, .. } => {
                 self.poll(&worker, lease_until, (acked, wait), token);
@@ -289,7 +324,17 @@
     }
 
     /// Checks that no task runs on two workers, or on three if its step allows copies.
-    fn assert_single_runs(&self) {
+    fn assert_single_runs(&mut self) {
+        if let Some(troubles) = &mut self.troubles {
+            let mut running: BTreeMap<&str, Vec<(u32, &str)>> = BTreeMap::new();
+            for (id, worker) in &self.workers {
+                for (task, run) in &worker.running {
+                    running.entry(task).or_default().push((run.run, id));
+                }
+            }
+            troubles.check_runs(self.now, &running);
+            return;
+        }
         let mut seen: HashMap<&str, Vec<&str>> = HashMap::new();
         for (id, worker) in &self.workers {
             for task in worker.running.keys() {
