--- a/components/shard/tests/fleet/late_calls.rs
+++ b/components/shard/tests/fleet/late_calls.rs
@@ -9,7 +9,8 @@
 use std::sync::LazyLock;
 
 use crate::storm::{Storm, troubles};
-use crate::support::{Breach, Fleet, Troubles, Violation, job, long_running, step};
+use crate::support::troubles::{Breach, Troubles, Violation};
+use crate::support::{Fleet, job, long_running, step};
 use googletest::prelude::*;
 use shard::Input;
 
--- a/components/shard/tests/fleet/storm.rs
+++ b/components/shard/tests/fleet/storm.rs
@@ -4,7 +4,8 @@
 
 use std::collections::BTreeMap;
 
-use crate::support::{Breach, Fleet, TICK_MS, Troubles, job, long_running, step};
+use crate::support::troubles::{Breach, Troubles};
+use crate::support::{Fleet, TICK_MS, job, long_running, step};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use shard::{Input, JobSpec, JobState, Ms, Shard, StartRequest, WorkerInfo};
--- a/components/shard/tests/fleet/support.rs
+++ b/components/shard/tests/fleet/support.rs
@@ -5,7 +5,7 @@
 #[path = "log_pace.rs"]
 mod log_pace;
 #[path = "troubles.rs"]
-mod troubles;
+pub mod troubles;
 #[path = "worker_calls.rs"]
 mod worker_calls;
 
@@ -13,7 +13,7 @@
 
 pub use fake_worker::{FakeRun, FakeWorker};
 pub use log_pace::LogPace;
-pub use troubles::{Breach, Fate, Troubles, Violation};
+use troubles::Troubles;
 use worker_calls::LateCall;
 
 use shard::{
--- a/components/shard/tests/fleet/worker_calls.rs
+++ b/components/shard/tests/fleet/worker_calls.rs
@@ -4,7 +4,8 @@
 
 use shard::{Input, Ms, RunOutcome, StartReply, StartRequest, StopCause, TaskId, WorkerReport};
 
-use super::{FakeRun, FakeWorker, Fate, Fleet, TIMING};
+use super::troubles::Fate;
+use super::{FakeRun, FakeWorker, Fleet, TIMING};
 
 /// A call that reaches its worker late, under the fencing token that it was sent with.
 #[derive(Clone, Debug)]
