A stop of an unanswered start is sent again only after a report without the run

A stop for a start without an answer was repeated at each interval, without a look at the worker in between.

A further stop for such a run now follows a report that does not list the run. If a report lists it, it is kept.

a_run_that_shows_up_after_an_unanswered_stop_is_kept failed before (two starts, one is expected).

--- a/components/shard/src/cancel.rs
+++ b/components/shard/src/cancel.rs
@@ -4,7 +4,7 @@
 use crate::job::TaskRef;
 use crate::model::Verdict;
 use crate::state::Shard;
-use crate::worker::{Reachability, RunPhase, StopCause, WorkerKey};
+use crate::worker::{Reachability, Run, RunPhase, StopCause, WorkerKey};
 
 impl Shard {
     pub(crate) fn cancel(&mut self, request_id: u64, id: &str) {
@@ -34,9 +34,7 @@
                 continue;
             }
             for (task, run) in &worker.runs {
-                if self.should_stop(task, run.phase)
-                    && self.now >= run.stop_sent_at + self.timing.stop_interval
-                {
+                if self.should_stop(task, run.phase) && self.stop_due(run) {
                     stops.push((key, *task));
                 }
             }
@@ -63,6 +61,14 @@
         self.stop_unknown_runs();
     }
 
+    /// Whether a stop request is due. An unanswered start may have been carried out since the last one, so that a further
+    /// one follows a report which does not list the run.
+    const fn stop_due(&self, run: &Run) -> bool {
+        let next = run.stop_sent_at + self.timing.stop_interval;
+        let first = run.stop_sent_at == 0 || !matches!(run.stop_cause, StopCause::Unanswered);
+        self.now >= next && (first || run.absent_at >= next)
+    }
+
     /// Whether a run must end: it is marked, or the verdict of its job is stored.
     fn should_stop(&self, task: &TaskRef, phase: RunPhase) -> bool {
         match phase {
--- a/components/shard/src/report.rs
+++ b/components/shard/src/report.rs
@@ -207,7 +207,7 @@
 
     /// Drops the runs that are missing in a worker's report, and follows up starts that it does not show.
     fn drop_missing_runs(&mut self, key: WorkerKey, sent: Ms, listed: &HashSet<(TaskRef, u32)>) {
-        let now = self.now;
+        let (now, timing) = (self.now, self.timing);
         let incarnation = self.workers[key].incarnation;
         let (mut lost, mut unanswered) = (Vec::new(), Vec::new());
         for (task, run) in &mut self.workers[key].runs {
@@ -223,6 +223,7 @@
                     lost.push((*task, run.number));
                 }
                 RunPhase::Unconfirmed(at) if at < sent => unanswered.push(*task),
+                RunPhase::Stopping if now >= run.stop_sent_at + timing.stop_interval => run.absent_at = now,
                 _ => {}
             }
         }
@@ -355,6 +356,7 @@
             metric: 0,
             speed_percent: 100,
             speed_changed: 0,
+            absent_at: 0,
             stop_sent_at: 0,
             stop_cause: StopCause::None,
         })
--- a/components/shard/src/worker.rs
+++ b/components/shard/src/worker.rs
@@ -89,6 +89,8 @@
     /// Speed that it is set to, in percent of full speed.
     pub speed_percent: u32,
     pub speed_changed: Ms,
+    /// When a report did not list it though a stop for it was due again.
+    pub absent_at: Ms,
     /// When the last stop request was sent; 0 if none was.
     pub stop_sent_at: Ms,
     pub stop_cause: StopCause,
--- a/components/shard/tests/fleet/support.rs
+++ b/components/shard/tests/fleet/support.rs
@@ -59,6 +59,8 @@
     pub drop_start_replies: bool,
     /// Starts to this worker are lost.
     pub lose_starts_to: Option<String>,
+    /// Stops are lost.
+    pub lose_stops: bool,
     /// Starts and polls reach their workers after this time, and are not answered.
     pub call_delay: Option<Ms>,
     /// Calls on their way.
@@ -114,6 +116,7 @@
             log_answers: 0,
             drop_start_replies: false,
             lose_starts_to: None,
+            lose_stops: false,
             call_delay: None,
             late_calls: Vec::new(),
             troubles: None,
--- a/components/shard/tests/fleet/unanswered.rs
+++ b/components/shard/tests/fleet/unanswered.rs
@@ -20,6 +20,11 @@
     fleet.workers.get_mut(worker).expect("a worker").unreachable = !reachable;
 }
 
+fn set_ready(fleet: &mut Fleet, worker: &str, ready: bool) {
+    fleet.listed.iter_mut().filter(|w| w.id == worker).for_each(|w| w.ready = ready);
+    fleet.send_worker_list();
+}
+
 fn runs(fleet: &Fleet) -> usize {
     fleet.workers.values().map(|w| w.running.len()).sum()
 }
@@ -66,6 +71,22 @@
     expect_that!(runs(&fleet), eq(1));
 }
 
+/// Guards against a stop, sent again without a look, that ends a task which a late start has put to work meanwhile.
+#[gtest]
+fn a_run_that_shows_up_after_an_unanswered_stop_is_kept() {
+    let (mut fleet, first) = fleet_with_late_start(2_000);
+    // The worker is to get no more tasks, so the run is stopped; that gets no answer either.
+    set_ready(&mut fleet, &first, false);
+    fleet.lose_stops = true;
+    fleet.advance(3_000);
+    set_ready(&mut fleet, &first, true);
+    fleet.lose_stops = false;
+    fleet.advance(3_000);
+    expect_that!(fleet.stops, not(is_empty()));
+    expect_that!(fleet.start_requests.len(), eq(1));
+    expect_that!(runs(&fleet), eq(1));
+}
+
 /// Guards against two runs of a task, one of them begun in the next incarnation of a worker by a start whose run had been
 /// stopped in the earlier one.
 #[gtest]
--- a/components/shard/tests/fleet/worker_calls.rs
+++ b/components/shard/tests/fleet/worker_calls.rs
@@ -165,7 +165,7 @@
         let unreachable = self.workers[id].is_unreachable(self.epoch);
         let (fate, answer_ms) = match self.troubles {
             Some(_) => self.fate(id, (task_id, run, "stop")),
-            None if unreachable => (Fate::Lost, 0),
+            None if unreachable || self.lose_stops => (Fate::Lost, 0),
             None => (Fate::Answered, 0),
         };
         self.note(id, &task_id.to_string(), || {
