Long-running tasks don't wait for the worker that a start may reach; owners record such starts

A run that had failed shortly before a new owner took over was in the log but not at its worker, so its task was bound to that worker, which had no room left.

A long-running task goes back to the worker if there is room, and else elsewhere at once, as it did before tasks were bound. So does a task whose run an earlier owner recorded and nobody knows of. To tell those that may still be started, an owner records a start that went without an answer; the next one binds its task as the owner would have. An older daemon reads the record without that field.

--- a/components/shard/src/binding.rs
+++ b/components/shard/src/binding.rs
@@ -4,13 +4,14 @@
 //! has ended there, but if the worker restarts meanwhile, its next incarnation knows nothing of that. So until no such
 //! request can be left, the task starts on that worker only: a restart then ends the newer run as well, and the raised
 //! fencing token bars the request. The task is free to go elsewhere when the worker leaves. While the worker is silent, the
-//! task waits; but not beyond the worker's leases if the list does not show the worker either or if the task is
-//! long-running.
+//! task waits, but not beyond the worker's leases if the list does not show the worker either. A long-running task has to
+//! be back within seconds, so it does not wait; it returns to the worker if there is room. So does a task whose run an
+//! earlier owner recorded and nobody knows of any more.
 
 use crate::Ms;
-use crate::job::TaskRef;
+use crate::job::{Bound, TaskRef};
 use crate::state::Shard;
-use crate::worker::{LATE_CALL_MS, Reachability, Run, WorkerKey};
+use crate::worker::{LATE_CALL_MS, Reachability, Run, RunPhase, WorkerKey};
 
 /// Where a task may start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -19,6 +20,8 @@
     Free,
     /// On this worker only.
     To(WorkerKey),
+    /// On this worker, or on another one if this one has no room.
+    Rather(WorkerKey),
     /// Nowhere at present.
     Held,
 }
@@ -32,28 +35,29 @@
 
 impl Shard {
     /// Binds a task to the worker of a run that has left its table, while a start of that run may be on its way.
-    pub(crate) fn bind_task(&mut self, task: &TaskRef, key: WorkerKey, run: &Run) {
-        let until = run.starts_over();
-        if self.now < until && !run.copies_allowed {
-            self.with_task(task, |t| t.bound = Some((key, until)));
+    pub(crate) fn bind_task(&mut self, task: &TaskRef, worker: WorkerKey, run: &Run) {
+        // What became of the requests of an earlier owner is known only as far as it recorded that.
+        let inherited = run.phase == RunPhase::Inherited;
+        let known = self.now < run.starts_over();
+        if (known || inherited) && !run.copies_allowed {
+            let until = if known { run.starts_over() } else { self.now + LATE_CALL_MS };
+            self.with_task(task, |t| t.bound = Some(Bound { worker, until, known }));
         }
     }
 
     /// Where a waiting task may start.
     pub(crate) fn binding(&self, task: &TaskRef) -> Binding {
         let Some(entry) = self.task(task) else { return Binding::Free };
-        let Some((key, _)) = entry.bound.filter(|b| self.now < b.1) else {
-            return Binding::Free;
-        };
-        let Some(worker) = self.workers.get(key) else { return Binding::Free };
+        let Some(bound) = entry.bound.filter(|b| self.now < b.until) else { return Binding::Free };
+        let Some(worker) = self.workers.get(bound.worker) else { return Binding::Free };
         let silent = worker.reachability != Reachability::Reachable;
         let leaves = worker.removed || worker.cordoned(self.now) || (worker.listed && !worker.info.ready);
-        // A long-running task has to be back within seconds.
-        let urgent = !worker.listed || self.is_long_running(task);
-        if leaves || (silent && urgent && self.now >= worker.leases_end(&self.timing)) {
+        let gone = silent && !worker.listed && self.now >= worker.leases_end(&self.timing);
+        let strict = bound.known && !self.is_long_running(task);
+        if worker.schedulable(self.now) && !entry.avoided_workers.contains(&bound.worker) {
+            if strict { Binding::To(bound.worker) } else { Binding::Rather(bound.worker) }
+        } else if leaves || gone || !strict {
             Binding::Free
-        } else if worker.schedulable(self.now) && !entry.avoided_workers.contains(&key) {
-            Binding::To(key)
         } else {
             Binding::Held
         }
--- a/components/shard/src/job.rs
+++ b/components/shard/src/job.rs
@@ -74,8 +74,17 @@
     pub avoided_workers: Vec<WorkerKey>,
     /// Earliest start.
     pub not_before: Ms,
-    /// Worker that an earlier start request may still reach, and until when.
-    pub bound: Option<(WorkerKey, Ms)>,
+    pub bound: Option<Bound>,
+}
+
+/// Worker that a start request for an earlier run of a task may still reach.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Bound {
+    pub worker: WorkerKey,
+    /// When no such request can be left.
+    pub until: Ms,
+    /// A request is known to have gone without an answer.
+    pub known: bool,
 }
 
 /// A step of an occurrence.
--- a/components/shard/src/placement.rs
+++ b/components/shard/src/placement.rs
@@ -194,11 +194,12 @@
         }
         match self.binding(&task) {
             Binding::Free => {}
-            Binding::To(key) if self.has_room(key, &task, spec, pass) => {
+            Binding::To(key) | Binding::Rather(key) if self.has_room(key, &task, spec, pass) => {
                 self.plan_run(task, key);
                 pass.refresh(key, &self.workers[key]);
                 return Placement::Placed;
             }
+            Binding::Rather(_) => {}
             Binding::To(_) | Binding::Held => return Placement::Held,
         }
         match self.choose_candidate(&task, spec, pass) {
--- a/components/shard/src/record.rs
+++ b/components/shard/src/record.rs
@@ -58,6 +58,9 @@
     /// Run number.
     #[prost(uint32, tag = "2")]
     pub run: u32,
+    /// A start request for it went without an answer and may still be carried out.
+    #[prost(bool, tag = "3")]
+    pub unanswered: bool,
 }
 
 /// Failed runs of one task.
--- a/components/shard/src/recovery.rs
+++ b/components/shard/src/recovery.rs
@@ -76,14 +76,15 @@
         for run in &record.runs {
             let task = TaskId::parse(&run.task_id).and_then(|n| self.task_ref(&n));
             if let Some(task) = task {
-                self.inherit_run(key, task, run.run);
+                self.inherit_run(key, task, run);
             }
         }
     }
 
     /// Restores a run that may be on a worker. If the log holds several runs of a task, only the one with the
     /// highest number can still be in progress, or the two highest ones if the step allows copies.
-    fn inherit_run(&mut self, key: WorkerKey, task: TaskRef, number: u32) {
+    fn inherit_run(&mut self, key: WorkerKey, task: TaskRef, record: &record::RunRecord) {
+        let number = record.run;
         self.restore_occurrence(task.step_ref);
         match self.task_state(&task) {
             // The run that lost may still be on its worker. It is restored to be stopped.
@@ -101,6 +102,7 @@
         }
         let Some(mut run) = self.new_run(&task, number) else { return };
         run.phase = RunPhase::Inherited;
+        run.unanswered_at = if record.unanswered { self.now } else { 0 };
         self.charge(&run);
         self.workers[key].insert_run(task, run);
         if self.task_state(&task) == Some(TaskState::Done) {
--- a/components/shard/src/report.rs
+++ b/components/shard/src/report.rs
@@ -218,10 +218,7 @@
                 RunPhase::Running(at) | RunPhase::Stopped(at) if at < sent => lost.push((*task, run.number)),
                 // The poll carried a higher fencing token, so a delayed start of an earlier owner is
                 // rejected by this incarnation.
-                RunPhase::Inherited => {
-                    run.unanswered_at = now;
-                    lost.push((*task, run.number));
-                }
+                RunPhase::Inherited => lost.push((*task, run.number)),
                 RunPhase::Unconfirmed(at) if at < sent => unanswered.push(*task),
                 RunPhase::Stopping if now >= run.stop_sent_at + timing.stop_interval => run.absent_at = now,
                 _ => {}
--- a/components/shard/src/starts.rs
+++ b/components/shard/src/starts.rs
@@ -145,6 +145,8 @@
                     run.phase = RunPhase::Unconfirmed(now);
                 }
                 worker.late_until = now + LATE_CALL_MS;
+                // The next owner has to know of it.
+                self.dirty_workers.insert(key);
             }
             StartReply::Fenced if run.token == token => self.fenced = true,
             StartReply::Fenced
--- a/components/shard/tests/fleet/copies_owners.rs
+++ b/components/shard/tests/fleet/copies_owners.rs
@@ -89,7 +89,7 @@
 /// Has the log record a third run of the straggler, on a worker that does not run it.
 pub fn record_third_run(fleet: &mut Fleet, others: &[&String]) {
     let info = fleet.listed.iter().find(|i| !others.contains(&&i.id)).expect("another worker");
-    let runs = vec![RunRecord { task_id: "a.0.0.7".into(), run: 1_000 }];
+    let runs = vec![RunRecord { task_id: "a.0.0.7".into(), run: 1_000, unanswered: false }];
     let (id, addr) = (info.id.clone(), info.addr.clone());
     let record = WorkerRecord { id, addr, runs, ..WorkerRecord::default() };
     fleet.log.insert(format!("w:{}", info.id), record.encode_to_vec());
