--- a/components/shard/tests/fleet/fake_worker.rs
+++ b/components/shard/tests/fleet/fake_worker.rs
@@ -62,6 +62,11 @@
         self.unreachable || self.unreachable_from.is_some_and(|from| epoch >= from)
     }
 
+    /// Tasks that run and are not being stopped.
+    pub(super) fn at_work(&self) -> impl Iterator<Item = &String> {
+        self.running.keys().filter(|task| !self.stopping.contains_key(*task))
+    }
+
     pub(super) fn bar(&mut self, task: &str, run: u32) {
         let highest = self.barred_runs.entry(task.to_owned()).or_default();
         *highest = run.max(*highest);
--- a/components/shard/tests/fleet/support.rs
+++ b/components/shard/tests/fleet/support.rs
@@ -331,6 +331,7 @@
                 for (task, run) in &worker.running {
                     running.entry(task).or_default().push((run.run, id));
                 }
+                troubles.note_served(self.now, worker.at_work());
             }
             troubles.check_runs(self.now, &running);
             return;
