A worker counts as serving only by a report after the stops of earlier owners

A long-running task can be stopped for maintenance while another one of its step is away (AVAIL): a new owner waited for the stops that the earlier one may have sent, but then judged by a report from before that time, which still listed the stopped task as at work.

What counts is now when the worker last answered.

--- a/components/shard/src/drain.rs
+++ b/components/shard/src/drain.rs
@@ -124,9 +124,9 @@
             .count()
     }
 
-    /// Whether stops that earlier owners requested from a worker have ended.
+    /// Whether stops that earlier owners requested from a worker had ended when it last answered.
     fn prior_stops_done(&self, worker: &Worker) -> bool {
-        worker.first_contact.is_some_and(|at| self.now >= at + self.timing.stop_interval)
+        worker.first_contact.is_some_and(|at| worker.answered_at() >= at + self.timing.stop_interval)
     }
 
     /// Whether the best worker for a task is another one; before the cordon, one that is not due itself.
