A run that was kept is stopped once its job ends

Further stops for that cause wait for a report that does not list the run, so none was sent when the job was cancelled.

A run that is kept has no cause for a stop any more. One that shows up but may not stay, as its task is elsewhere or its job has ended, is stopped as superseded, which asks for no such report.

--- a/components/shard/src/report.rs
+++ b/components/shard/src/report.rs
@@ -263,12 +263,16 @@
         let begun = matches!(run.phase, RunPhase::Sent | RunPhase::Unconfirmed(_) | RunPhase::Inherited)
             && run.stop_sent_at == 0;
         // The start was carried out after all, before a stop that has not been answered either.
-        let kept = run.phase == RunPhase::Stopping
+        let shown = run.phase == RunPhase::Stopping
             && run.stop_cause == StopCause::Unanswered
-            && sent >= run.stop_sent_at + timing.request_timeout
-            && state == Some(TaskState::Placed(key));
+            && sent >= run.stop_sent_at + timing.request_timeout;
+        let kept = shown && state == Some(TaskState::Placed(key));
+        if shown && !kept {
+            run.stop_cause = StopCause::Superseded;
+        }
         if begun || kept {
             run.phase = RunPhase::Running(now);
+            run.stop_cause = StopCause::None;
             run.progressed_at = now;
             if done {
                 run.stop(StopCause::Superseded);
--- a/components/shard/tests/fleet/main.rs
+++ b/components/shard/tests/fleet/main.rs
@@ -13,6 +13,7 @@
 mod overload;
 mod random_faults;
 mod referrals;
+mod repeated_starts;
 mod restarts;
 mod review;
 mod slow_log;
--- a/components/shard/tests/fleet/unanswered.rs
+++ b/components/shard/tests/fleet/unanswered.rs
@@ -5,7 +5,7 @@
 use shard::Ms;
 
 /// A fleet of two workers, and the worker to which the start of the only task of job `a` is on its way.
-fn fleet_with_late_start(delay: Ms) -> (Fleet, String) {
+pub fn fleet_with_late_start(delay: Ms) -> (Fleet, String) {
     let mut fleet = Fleet::known(2, 4_000);
     fleet.work_ms = 60_000;
     fleet.call_delay = Some(delay);
@@ -16,21 +16,21 @@
     (fleet, worker)
 }
 
-fn set_reachable(fleet: &mut Fleet, worker: &str, reachable: bool) {
+pub fn set_reachable(fleet: &mut Fleet, worker: &str, reachable: bool) {
     fleet.workers.get_mut(worker).expect("a worker").unreachable = !reachable;
 }
 
-fn set_ready(fleet: &mut Fleet, worker: &str, ready: bool) {
+pub fn set_ready(fleet: &mut Fleet, worker: &str, ready: bool) {
     fleet.listed.iter_mut().filter(|w| w.id == worker).for_each(|w| w.ready = ready);
     fleet.send_worker_list();
 }
 
-fn runs(fleet: &Fleet) -> usize {
+pub fn runs(fleet: &Fleet) -> usize {
     fleet.workers.values().map(|w| w.running.len()).sum()
 }
 
 /// Advances until so many starts have been sent.
-fn advance_to_start(fleet: &mut Fleet, number: usize) {
+pub fn advance_to_start(fleet: &mut Fleet, number: usize) {
     for _ in 0..1_000 {
         if fleet.start_requests.len() >= number {
             return;
