A task is not held to a worker that it avoids, nor by a start that was carried out

Callers wait up to 12 s for a task in calm, found in review: a start whose answer was lost bound its task to the worker although a report had shown the run at work, so that no request was on its way any more. If the run then failed, the task avoided the worker and was bound to it, and started nowhere. Likewise after six requests without an answer.

A run that shows up after its only request leaves nothing behind. A task that avoids the worker it is bound to is free: a late request would have to meet a restart as well, and the task has failed or got no answer there.

a_task_whose_confirmed_run_failed_is_not_held_to_its_worker (no second start) and a_long_running_task_leaves_a_worker_that_answers_no_start_within_seconds (none within 3 s of the stop) failed before.

--- a/components/shard/src/binding.rs
+++ b/components/shard/src/binding.rs
@@ -6,7 +6,7 @@
 //! fencing token bars the request. The task is free to go elsewhere when the worker leaves. While the worker is silent, the
 //! task waits, but not beyond the worker's leases if the list does not show the worker either. A long-running task has to
 //! be back within seconds, so it does not wait; it returns to the worker if there is room. So does a task whose run an
-//! earlier owner recorded and nobody knows of any more.
+//! earlier owner recorded and nobody knows of any more. A task that avoids the worker is free.
 
 use crate::Ms;
 use crate::job::{Bound, TaskRef};
@@ -54,7 +54,9 @@
         let leaves = worker.removed || worker.cordoned(self.now) || (worker.listed && !worker.info.ready);
         let gone = silent && !worker.listed && self.now >= worker.leases_end(&self.timing);
         let strict = bound.known && !self.is_long_running(task);
-        if worker.schedulable(self.now) && !entry.avoided_workers.contains(&bound.worker) {
+        if entry.avoided_workers.contains(&bound.worker) {
+            Binding::Free
+        } else if worker.schedulable(self.now) {
             if strict { Binding::To(bound.worker) } else { Binding::Rather(bound.worker) }
         } else if leaves || gone || !strict {
             Binding::Free
--- a/components/shard/src/report.rs
+++ b/components/shard/src/report.rs
@@ -273,6 +273,10 @@
         if begun || kept {
             run.phase = RunPhase::Running(now);
             run.stop_cause = StopCause::None;
+            if run.tries == 1 {
+                // Its only request has been carried out.
+                run.unanswered_at = 0;
+            }
             run.progressed_at = now;
             if done {
                 run.stop(StopCause::Superseded);
--- a/components/shard/tests/fleet/repeated_starts.rs
+++ b/components/shard/tests/fleet/repeated_starts.rs
@@ -1,7 +1,16 @@
 //! What becomes of runs and tasks whose start has been sent more than once.
 
-use crate::unanswered::{fleet_with_late_start, runs, set_ready};
+use crate::support::{Fleet, TICK_MS, job, long_running, step};
+use crate::unanswered::{advance_to_start, fleet_with_late_start, runs, set_ready};
 use googletest::prelude::*;
+use shard::{RunOutcome, TaskId};
+
+/// Ends the only run on a worker.
+fn end_run(fleet: &mut Fleet, worker: &str, outcome: RunOutcome) {
+    let worker = fleet.workers.get_mut(worker).expect("a worker");
+    let (task, run) = worker.running.pop_first().expect("a run");
+    worker.end_run(TaskId::parse(&task).expect("a task id"), run.run, outcome);
+}
 
 /// Guards against a run that goes on after its job was cancelled, as it had been kept.
 #[gtest]
@@ -18,3 +27,37 @@
     fleet.advance(10_000);
     expect_that!(runs(&fleet), eq(0));
 }
+
+/// Guards against a task that waits for a worker which it avoids, as it was started there with one lost answer.
+#[gtest]
+fn a_task_whose_confirmed_run_failed_is_not_held_to_its_worker() {
+    let mut fleet = Fleet::known(2, 4_000);
+    fleet.work_ms = 60_000;
+    fleet.drop_start_replies = true;
+    fleet.submit(job("a", vec![step(1, 100)]));
+    advance_to_start(&mut fleet, 1);
+    let first = fleet.start_requests[0].worker.clone();
+    fleet.advance(20);
+    fleet.drop_start_replies = false;
+    fleet.advance(1_500);
+    end_run(&mut fleet, &first, RunOutcome::Failed);
+    fleet.advance(1_000);
+    expect_that!(fleet.start_requests.len(), eq(2));
+}
+
+/// Guards against a long-running task without a run while a worker has room.
+#[gtest]
+fn a_long_running_task_leaves_a_worker_that_answers_no_start_within_seconds() {
+    let mut fleet = Fleet::known(2, 4_000);
+    fleet.call_delay = Some(60_000);
+    fleet.submit(long_running("a", 1, 100));
+    fleet.advance(50);
+    fleet.call_delay = None;
+    let first = fleet.start_requests[0].worker.clone();
+    fleet.lose_starts_to = Some(first.clone());
+    while fleet.stops.is_empty() {
+        fleet.advance(TICK_MS);
+    }
+    fleet.advance(3_000);
+    expect_that!(fleet.start_requests.last().expect("a start").worker, not(eq(&first)));
+}
