A start is repeated only where its task may still run

A start without an answer goes out again seconds later, also to the next incarnation of its worker, which may be of another kind. Only the cordon, the zone and the fence were looked at.

The same check as at placement decides, without the limit of tasks per worker that counts the run itself, and the reservations have to fit the worker's capacity. If it fails, the run is stopped, and its task moves once that is confirmed.

a_start_is_not_repeated_on_a_worker_that_has_lost_the_required_label failed before.

--- a/components/shard/src/placement.rs
+++ b/components/shard/src/placement.rs
@@ -331,7 +331,7 @@
         best.map(|(_, key)| key)
     }
 
-    /// Whether constraints other than capacity allow a task of the step on a worker.
+    /// Whether constraints other than capacity allow a further task of the step on a worker.
     pub(crate) fn eligible(
         &self,
         key: WorkerKey,
@@ -340,19 +340,21 @@
         service: &str,
     ) -> bool {
         let worker = &self.workers[key];
-        if worker.info.service != service
-            || self.zones_out.contains(&worker.info.zone)
-            || worker.runs.len() >= MAX_RUNS_PER_WORKER
-        {
-            return false;
-        }
-        if !spec.label.is_empty() && !worker.info.labels.contains(&spec.label) {
+        if !self.suitable(key, spec, service) || worker.runs.len() >= MAX_RUNS_PER_WORKER {
             return false;
         }
         spec.max_colocated == 0
             || worker.runs.keys().filter(|t| t.step_ref == *step_ref).count() < spec.max_colocated as usize
     }
 
+    /// Whether a worker is of the kind and in a place where tasks of the step may run.
+    pub(crate) fn suitable(&self, key: WorkerKey, spec: &StepSpec, service: &str) -> bool {
+        let info = &self.workers[key].info;
+        info.service == service
+            && !self.zones_out.contains(&info.zone)
+            && (spec.label.is_empty() || info.labels.contains(&spec.label))
+    }
+
     /// Whether a worker that failed recently has a start pending. It gets one start at a time until a task
     /// completes.
     pub(crate) fn probe_in_progress(&self, key: WorkerKey) -> bool {
--- a/components/shard/src/starts.rs
+++ b/components/shard/src/starts.rs
@@ -64,14 +64,18 @@
     fn after_no_answer(&self, key: WorkerKey, task: &TaskRef) -> Unanswered {
         let worker = &self.workers[key];
         let Some(run) = worker.runs.get(task) else { return Unanswered::Wait };
-        let open = self.jobs.get(&task.step_ref.job).is_some_and(|j| j.verdict == Verdict::Open);
+        let Some(job) = self.jobs.get(&task.step_ref.job) else { return Unanswered::Wait };
+        let Some(spec) = job.spec.steps.get(task.step_ref.step as usize) else { return Unanswered::Wait };
+        let open = job.verdict == Verdict::Open;
         let answers = worker.reachability == Reachability::Reachable && worker.fence != Fence::Raised;
         if !open || !answers || worker.restart_listed() || worker.lease_noted {
             return Unanswered::Wait;
         }
-        let zone_out = self.zones_out.contains(&worker.info.zone);
+        // The next incarnation may be of another kind.
+        let fits = worker.used.fits(&worker.info.capacity);
+        let suitable = fits && self.suitable(key, spec, &job.spec.service);
         let allowed =
-            worker.info.ready && !worker.cordoned(self.now) && !zone_out && worker.fence == Fence::Up;
+            suitable && worker.info.ready && !worker.cordoned(self.now) && worker.fence == Fence::Up;
         if allowed && (run.tries < MAX_START_TRIES || !self.can_miss(task)) {
             Unanswered::Repeat
         } else {
--- a/components/shard/tests/fleet/repeated_starts.rs
+++ b/components/shard/tests/fleet/repeated_starts.rs
@@ -3,7 +3,7 @@
 use crate::support::{Fleet, TICK_MS, job, long_running, step};
 use crate::unanswered::{advance_to_start, fleet_with_late_start, runs, set_ready};
 use googletest::prelude::*;
-use shard::{RunOutcome, TaskId};
+use shard::{RunOutcome, StepSpec, TaskId};
 
 /// Ends the only run on a worker.
 fn end_run(fleet: &mut Fleet, worker: &str, outcome: RunOutcome) {
@@ -61,3 +61,22 @@
     fleet.advance(3_000);
     expect_that!(fleet.start_requests.last().expect("a start").worker, not(eq(&first)));
 }
+
+/// Guards against a start that is sent again to an incarnation of another kind.
+#[gtest]
+fn a_start_is_not_repeated_on_a_worker_that_has_lost_the_required_label() {
+    let mut fleet = Fleet::known(2, 4_000);
+    fleet.work_ms = 60_000;
+    fleet.call_delay = Some(60_000);
+    fleet.submit(job("a", vec![StepSpec { label: "a".into(), ..step(1, 100) }]));
+    advance_to_start(&mut fleet, 1);
+    fleet.call_delay = None;
+    let first = fleet.start_requests[0].worker.clone();
+    fleet.advance(TICK_MS);
+    fleet.crash(&first);
+    let entry = fleet.listed.iter_mut().find(|w| w.id == first).expect("a listed worker");
+    entry.labels = vec!["b".into(), "r1-1".into()];
+    fleet.send_worker_list();
+    fleet.advance(15_000);
+    expect_that!(fleet.workers[&first].starts, is_empty());
+}
