A gang's member is not started again once others of the gang wait

A gang starts in part and waits in vain (GANG, and capacity that idles), found in review: a member's start without an answer was repeated although the other members had ended alone or were lost, so their tasks waited for a new run of the whole gang.

Such a member is stopped instead, and the gang is placed anew.

a_member_of_a_gang_whose_others_have_ended_is_not_started_again failed before.

--- a/components/shard/src/starts.rs
+++ b/components/shard/src/starts.rs
@@ -8,8 +8,8 @@
 
 use crate::Verdict;
 use crate::io::{Action, StartReply, StartRequest};
-use crate::job::TaskRef;
-use crate::model::TaskId;
+use crate::job::{TaskRef, TaskState};
+use crate::model::{StepSpec, TaskId};
 use crate::state::Shard;
 use crate::worker::{Fence, LATE_CALL_MS, Reachability, RunPhase, StopCause, WorkerKey};
 
@@ -73,7 +73,7 @@
         }
         // The next incarnation may be of another kind.
         let fits = worker.used.fits(&worker.info.capacity);
-        let suitable = fits && self.suitable(key, spec, &job.spec.service);
+        let suitable = fits && self.suitable(key, spec, &job.spec.service) && self.gang_placed(task, spec);
         let allowed =
             suitable && worker.info.ready && !worker.cordoned(self.now) && worker.fence == Fence::Up;
         if allowed && (run.tries < MAX_START_TRIES || !self.can_miss(task)) {
@@ -83,6 +83,12 @@
         }
     }
 
+    /// Whether each member of a task's gang has a worker; true for a task of no gang.
+    fn gang_placed(&self, task: &TaskRef, spec: &StepSpec) -> bool {
+        let waits = |index| self.task_state(&TaskRef { index, ..*task }) == Some(TaskState::Waiting);
+        !spec.gang || !(0..spec.count).any(waits)
+    }
+
     /// Builds the start request of a run; `None` if the worker or the job does not allow it now.
     fn start_request(&mut self, key: WorkerKey, task: &TaskRef, number: u32) -> Option<StartRequest> {
         let now = self.now;
--- a/components/shard/tests/fleet/repeated_starts.rs
+++ b/components/shard/tests/fleet/repeated_starts.rs
@@ -80,3 +80,21 @@
     fleet.advance(15_000);
     expect_that!(fleet.workers[&first].starts, is_empty());
 }
+
+/// Guards against a member of a gang that starts and waits alone.
+#[gtest]
+fn a_member_of_a_gang_whose_others_have_ended_is_not_started_again() {
+    let mut fleet = Fleet::known(3, 200);
+    fleet.work_ms = 60_000;
+    fleet.lose_starts_to = Some("w2".into());
+    fleet.submit(job("a", vec![StepSpec { gang: true, ..step(3, 200) }]));
+    fleet.advance(1_500);
+    // The others waited in vain.
+    end_run(&mut fleet, "w0", RunOutcome::Interrupted);
+    end_run(&mut fleet, "w1", RunOutcome::Interrupted);
+    fleet.advance(100);
+    fleet.lose_starts_to = None;
+    fleet.advance(6_000);
+    expect_false!(fleet.workers["w2"].starts.iter().any(|(_, run)| *run == 1));
+    expect_that!(runs(&fleet), eq(3));
+}
