Two long-running tasks don't wait for one another on a worker that takes no starts

Two tasks of a long-running step that are started on a worker which answers polls but no starts never run (LOST), found in review: beyond six tries a start was repeated for as long as others of its step were away, and each of the two was away for the other.

Beyond its budget a start is repeated twice as often, and then stopped like others.

two_long_running_tasks_of_a_step_leave_a_worker_that_answers_no_start failed before (no run after 60 s).

--- a/components/shard/src/starts.rs
+++ b/components/shard/src/starts.rs
@@ -17,6 +17,10 @@
 /// 64.
 const MAX_START_TRIES: u32 = 6;
 
+/// The same while others of a long-running step are away, so that a stop could exceed its disruption budget. Two such
+/// tasks may wait for one another.
+const MAX_TRIES_BEYOND_BUDGET: u32 = 2 * MAX_START_TRIES;
+
 /// What follows for a run whose start has not been answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Unanswered {
@@ -76,11 +80,8 @@
         let suitable = fits && self.suitable(key, spec, &job.spec.service) && self.gang_placed(task, spec);
         let allowed =
             suitable && worker.info.ready && !worker.cordoned(self.now) && worker.fence == Fence::Up;
-        if allowed && (run.tries < MAX_START_TRIES || !self.can_miss(task)) {
-            Unanswered::Repeat
-        } else {
-            Unanswered::Stop
-        }
+        let tries = if self.can_miss(task) { MAX_START_TRIES } else { MAX_TRIES_BEYOND_BUDGET };
+        if allowed && run.tries < tries { Unanswered::Repeat } else { Unanswered::Stop }
     }
 
     /// Whether each member of a task's gang has a worker; true for a task of no gang.
--- a/components/shard/tests/fleet/repeated_starts.rs
+++ b/components/shard/tests/fleet/repeated_starts.rs
@@ -98,3 +98,15 @@
     expect_false!(fleet.workers["w2"].starts.iter().any(|(_, run)| *run == 1));
     expect_that!(runs(&fleet), eq(3));
 }
+
+/// Guards against two long-running tasks that wait for one another on a worker which takes no starts.
+#[gtest]
+fn two_long_running_tasks_of_a_step_leave_a_worker_that_answers_no_start() {
+    let mut fleet = Fleet::known(2, 4_000);
+    let mut spec = long_running("a", 2, 100);
+    spec.steps[0].max_colocated = 0;
+    fleet.lose_starts_to = Some("w0".into());
+    fleet.submit(spec);
+    fleet.advance(60_000);
+    expect_that!(runs(&fleet), eq(2));
+}
