A task is not held to a worker that may not run it any more

A task waits up to 12 s while a worker has room, found in review: after its run was stopped at a worker that had lost the required label, or whose zone is out of service, it was bound to that worker.

Such a task is free. a_start_is_not_repeated_on_a_worker_that_has_lost_the_required_label now has a second worker with the label, and asks for a start there within 5 s, which failed before; its earlier check stands.

--- a/components/shard/src/binding.rs
+++ b/components/shard/src/binding.rs
@@ -6,7 +6,7 @@
 //! fencing token bars the request. The task is free to go elsewhere when the worker leaves. While the worker is silent, the
 //! task waits, but not beyond the worker's leases if the list does not show the worker either. A long-running task has to
 //! be back within seconds, so it does not wait; it returns to the worker if there is room. So does a task whose run an
-//! earlier owner recorded and nobody knows of any more. A task that avoids the worker is free.
+//! earlier owner recorded and nobody knows of any more. A task that avoids the worker, or that it may not run any more, is free.
 
 use crate::Ms;
 use crate::job::{Bound, TaskRef};
@@ -51,10 +51,14 @@
         let Some(bound) = entry.bound.filter(|b| self.now < b.until) else { return Binding::Free };
         let Some(worker) = self.workers.get(bound.worker) else { return Binding::Free };
         let silent = worker.reachability != Reachability::Reachable;
+        let suitable = self.jobs.get(&task.step_ref.job).is_none_or(|j| {
+            let spec = j.spec.steps.get(task.step_ref.step as usize);
+            spec.is_none_or(|s| self.suitable(bound.worker, s, &j.spec.service))
+        });
         let leaves = worker.removed || worker.cordoned(self.now) || (worker.listed && !worker.info.ready);
         let gone = silent && !worker.listed && self.now >= worker.leases_end(&self.timing);
         let strict = bound.known && !self.is_long_running(task);
-        if entry.avoided_workers.contains(&bound.worker) {
+        if !suitable || entry.avoided_workers.contains(&bound.worker) {
             Binding::Free
         } else if worker.schedulable(self.now) {
             if strict { Binding::To(bound.worker) } else { Binding::Rather(bound.worker) }
--- a/components/shard/tests/fleet/repeated_starts.rs
+++ b/components/shard/tests/fleet/repeated_starts.rs
@@ -74,10 +74,13 @@
     let first = fleet.start_requests[0].worker.clone();
     fleet.advance(TICK_MS);
     fleet.crash(&first);
-    let entry = fleet.listed.iter_mut().find(|w| w.id == first).expect("a listed worker");
-    entry.labels = vec!["b".into(), "r1-1".into()];
+    for entry in &mut fleet.listed {
+        entry.labels[0] = if entry.id == first { "b".into() } else { "a".into() };
+    }
     fleet.send_worker_list();
-    fleet.advance(15_000);
+    fleet.advance(5_000);
+    expect_that!(fleet.start_requests.len(), eq(2));
+    fleet.advance(10_000);
     expect_that!(fleet.workers[&first].starts, is_empty());
 }
 
