A silent worker's token is raised while a start is still waited for

A start in flight is given up up to 500 ms after the poll that fails first, so the next answer could come before.

Starts in flight count. The raise has a log line. a_silence_bars_a_start_that_is_still_waited_for failed before.

--- a/components/shard/src/report.rs
+++ b/components/shard/src/report.rs
@@ -167,12 +167,14 @@
     /// whichever incarnation gives it.
     fn renew_token(&mut self, key: WorkerKey) {
         let worker = &mut self.workers[key];
-        let late_calls = worker.poll_acked > 0 || self.now < worker.late_until;
+        let in_flight = worker.runs.values().any(|r| r.phase == RunPhase::Sent);
+        let late_calls = in_flight || worker.poll_acked > 0 || self.now < worker.late_until;
         let spare = worker.token.saturating_add(TOKENS_FOR_RESTARTS) < self.tokens.limit;
         if worker.fence == Fence::Up && late_calls && spare {
             worker.token += 1;
             worker.fence = Fence::Renewed;
             self.tokens.last = self.tokens.last.max(worker.token);
+            tracing::info!(worker = %worker.info.id, token = worker.token, incarnation = worker.incarnation, "shard: token raised for a silent worker");
         }
     }
 
--- a/components/shard/tests/fleet/unanswered.rs
+++ b/components/shard/tests/fleet/unanswered.rs
@@ -1,6 +1,6 @@
 //! Starts that get no answer and are carried out seconds later, at the incarnation that they were meant for or the next.
 
-use crate::support::{Fleet, TICK_MS, job, long_running, step};
+use crate::support::{Fleet, TICK_MS, TIMING, job, long_running, step};
 use googletest::prelude::*;
 use shard::Ms;
 
@@ -137,6 +137,29 @@
     expect_that!(runs(&fleet), eq(1));
 }
 
+/// Guards against the same where the start is still waited for when the worker falls silent.
+#[gtest]
+fn a_silence_bars_a_start_that_is_still_waited_for() {
+    let mut fleet = Fleet::known(1, 4_000);
+    fleet.work_ms = 60_000;
+    // Its poll fails after the timeout of a request.
+    set_reachable(&mut fleet, "w0", false);
+    fleet.advance(TIMING.request_timeout - 100);
+    fleet.call_delay = Some(6_000);
+    fleet.submit(job("a", vec![step(1, 100)]));
+    advance_to_start(&mut fleet, 1);
+    fleet.call_delay = None;
+    fleet.crash("w0");
+    set_reachable(&mut fleet, "w0", true);
+    let token = fleet.workers["w0"].fencing_token;
+    while fleet.workers["w0"].fencing_token == token {
+        fleet.advance(TICK_MS);
+    }
+    set_reachable(&mut fleet, "w0", false);
+    fleet.advance(7_000);
+    expect_that!(fleet.workers["w0"].starts, is_empty());
+}
+
 /// Guards against a late start that the next incarnation takes after its first answer to the owner.
 #[gtest]
 fn the_first_answer_after_a_silence_bars_the_calls_from_before() {
