--- a/components/shard/src/batch.rs
+++ b/components/shard/src/batch.rs
@@ -129,7 +129,7 @@
                         || batch.new_jobs.contains(&task.step_ref.job),
                     "a run is recorded before its job"
                 );
-                let unanswered = self.now < run.starts_over();
+                let unanswered = self.now < run.late_until();
                 runs.push(RunRecord { task_id: task_id.to_string(), run: run.number, unanswered });
                 if run.phase == RunPhase::Planned {
                     batch.starts.push((key, *task, run.number));
--- a/components/shard/src/binding.rs
+++ b/components/shard/src/binding.rs
@@ -21,14 +21,14 @@
     /// On this worker only.
     To(WorkerKey),
     /// On this worker, or on another one if this one has no room.
-    Rather(WorkerKey),
+    Preferred(WorkerKey),
     /// Nowhere at present.
     Held,
 }
 
 impl Run {
     /// When none of its start requests can be on the way any more; 0 if each was answered.
-    pub const fn starts_over(&self) -> Ms {
+    pub const fn late_until(&self) -> Ms {
         if self.unanswered_at == 0 { 0 } else { self.unanswered_at + LATE_CALL_MS }
     }
 }
@@ -38,10 +38,10 @@
     pub(crate) fn bind_task(&mut self, task: &TaskRef, worker: WorkerKey, run: &Run) {
         // What became of the requests of an earlier owner is known only as far as it recorded that.
         let inherited = run.phase == RunPhase::Inherited;
-        let known = self.now < run.starts_over();
-        if (known || inherited) && !run.copies_allowed {
-            let until = if known { run.starts_over() } else { self.now + LATE_CALL_MS };
-            self.with_task(task, |t| t.bound = Some(Bound { worker, until, known }));
+        let unanswered = self.now < run.late_until();
+        if (unanswered || inherited) && !run.copies_allowed {
+            let until = if unanswered { run.late_until() } else { self.now + LATE_CALL_MS };
+            self.with_task(task, |t| t.bound = Some(Bound { worker, until, unanswered }));
         }
     }
 
@@ -57,11 +57,11 @@
         });
         let leaves = worker.removed || worker.cordoned(self.now) || (worker.listed && !worker.info.ready);
         let gone = silent && !worker.listed && self.now >= worker.leases_end(&self.timing);
-        let strict = bound.known && !self.is_long_running(task);
+        let strict = bound.unanswered && !self.is_long_running(task);
         if !suitable || entry.avoided_workers.contains(&bound.worker) {
             Binding::Free
         } else if worker.schedulable(self.now) {
-            if strict { Binding::To(bound.worker) } else { Binding::Rather(bound.worker) }
+            if strict { Binding::To(bound.worker) } else { Binding::Preferred(bound.worker) }
         } else if leaves || gone || !strict {
             Binding::Free
         } else {
--- a/components/shard/src/drain.rs
+++ b/components/shard/src/drain.rs
@@ -76,7 +76,7 @@
         if !matches!(run.phase, RunPhase::Running(_)) {
             return false;
         }
-        let bound = self.now < run.starts_over();
+        let bound = self.now < run.late_until();
         if bound && !self.workers[key].cordoned(self.now) {
             return false;
         }
--- a/components/shard/src/job.rs
+++ b/components/shard/src/job.rs
@@ -84,7 +84,7 @@
     /// When no such request can be left.
     pub until: Ms,
     /// A request is known to have gone without an answer.
-    pub known: bool,
+    pub unanswered: bool,
 }
 
 /// A step of an occurrence.
--- a/components/shard/src/placement.rs
+++ b/components/shard/src/placement.rs
@@ -28,7 +28,7 @@
     OverQuota,
     /// The quota is too small, and more of it would not start the task.
     Unplaceable,
-    /// The only worker that may take it cannot do so now.
+    /// The only worker that may take it, for some seconds, cannot do so now.
     Held,
 }
 
@@ -194,12 +194,12 @@
         }
         match self.binding(&task) {
             Binding::Free => {}
-            Binding::To(key) | Binding::Rather(key) if self.has_room(key, &task, spec, pass) => {
+            Binding::To(key) | Binding::Preferred(key) if self.has_room(key, &task, spec, pass) => {
                 self.plan_run(task, key);
                 pass.refresh(key, &self.workers[key]);
                 return Placement::Placed;
             }
-            Binding::Rather(_) => {}
+            Binding::Preferred(_) => {}
             Binding::To(_) | Binding::Held => return Placement::Held,
         }
         match self.choose_candidate(&task, spec, pass) {
--- a/components/shard/src/starts.rs
+++ b/components/shard/src/starts.rs
@@ -4,7 +4,7 @@
 //! worker under the same run number: there the run begins once, whichever request arrives first. A stop would be no
 //! safer, as it can meet a task that has been at work for seconds, and the task would have to start elsewhere while the
 //! first request is still on its way. Only a worker that leaves several requests for a run without an answer, or that
-//! may not have the run any more, is told to stop it, and the task moves once that is confirmed.
+//! may not take the task any more, is told to stop the run, and the task moves once that is confirmed.
 
 use crate::Verdict;
 use crate::io::{Action, StartReply, StartRequest};
--- a/components/shard/tests/fleet/failures.rs
+++ b/components/shard/tests/fleet/failures.rs
@@ -72,7 +72,7 @@
 }
 
 #[gtest]
-fn an_unanswered_start_is_stopped_before_the_task_starts_elsewhere() {
+fn an_unanswered_start_leads_to_one_run() {
     let mut fleet = Fleet::new(2, 1_000);
     fleet.work_ms = 2_000;
     fleet.drop_start_replies = true;
--- a/components/shard/tests/fleet/restarts.rs
+++ b/components/shard/tests/fleet/restarts.rs
@@ -192,9 +192,9 @@
     expect_that!(starts(&fleet, "b"), eq(1));
 }
 
-/// Guards against a start that reaches the next incarnation after its task has started elsewhere.
+/// Guards against a start that reaches the next incarnation beside another run of its task.
 #[gtest]
-fn an_unanswered_start_is_stopped_at_the_next_incarnation_before_its_task_starts_elsewhere() {
+fn an_unanswered_start_leads_to_one_run_at_the_next_incarnation() {
     let mut fleet = fleet();
     fleet.call_delay = Some(3_000);
     fleet.submit(job("a", vec![step(1, 100)]));
