A repeated start that an unhealthy worker refuses leads to a look, not to a stop

A long-running task can be ended at work by a stop of its unanswered start (AVAIL), found in review: if the repeated request was refused for the worker's health, which says only that this request did nothing, the run was stopped at once, although the earlier request may have begun it since the last report.

The run stays unconfirmed, and the next report decides. a_repeated_start_that_is_refused_for_health_stops_nothing failed before.

--- a/components/shard/src/starts.rs
+++ b/components/shard/src/starts.rs
@@ -184,7 +184,7 @@
         let settled = run.unanswered_at == 0 || reply == StartReply::OtherLife;
         match reply {
             _ if settled => self.drop_unstarted_run(key, task),
-            StartReply::NotSent | StartReply::Fenced if run.phase == RunPhase::Sent => {
+            StartReply::NotSent | StartReply::Fenced | StartReply::Unwell if run.phase == RunPhase::Sent => {
                 run.phase = RunPhase::Unconfirmed(now);
             }
             _ => run.stop(StopCause::Unanswered),
--- a/components/shard/tests/fleet/repeated_starts.rs
+++ b/components/shard/tests/fleet/repeated_starts.rs
@@ -3,7 +3,7 @@
 use crate::support::{Fleet, TICK_MS, job, long_running, step};
 use crate::unanswered::{advance_to_start, fleet_with_late_start, runs, set_ready};
 use googletest::prelude::*;
-use shard::{RunOutcome, StepSpec, TaskId};
+use shard::{Input, RunOutcome, StartReply, StartRequest, StepSpec, TaskId};
 
 /// Ends the only run on a worker.
 fn end_run(fleet: &mut Fleet, worker: &str, outcome: RunOutcome) {
@@ -113,3 +113,20 @@
     fleet.advance(60_000);
     expect_that!(runs(&fleet), eq(2));
 }
+
+/// Guards against a stop, without a look at the worker, of a long-running task that an earlier start has put to work.
+#[gtest]
+fn a_repeated_start_that_is_refused_for_health_stops_nothing() {
+    let mut fleet = Fleet::known(1, 4_000);
+    fleet.call_delay = Some(2_000);
+    fleet.submit(long_running("a", 1, 100));
+    advance_to_start(&mut fleet, 1);
+    fleet.call_delay = None;
+    fleet.lose_starts_to = Some("w0".into());
+    advance_to_start(&mut fleet, 2);
+    let StartRequest { worker, task_id, run, .. } = fleet.start_requests[1].clone();
+    fleet.apply(Input::StartResult { worker, task_id, run, reply: StartReply::Unwell });
+    fleet.advance(3_000);
+    expect_that!(fleet.stops, is_empty());
+    expect_that!(runs(&fleet), eq(1));
+}
