A paused task speeds up again under the next owner

A task that fills up a worker stays paused for good after a change of owner, found in review and by reading before: the new owner took it to run at full speed, and sends only changes. The speed is told by a call, and the call was meant for the owner before.

A speed that this owner has not set is told once when the tasks that serve users have room. a_paused_task_speeds_up_under_the_next_owner failed before.

--- a/components/shard/src/report.rs
+++ b/components/shard/src/report.rs
@@ -362,6 +362,7 @@
             basis: None,
             metric: 0,
             speed_percent: 100,
+            speed_known: false,
             speed_changed: 0,
             absent_at: 0,
             stop_sent_at: 0,
--- a/components/shard/src/starts.rs
+++ b/components/shard/src/starts.rs
@@ -121,6 +121,7 @@
         run.phase = RunPhase::Sent;
         run.token = worker.token;
         run.tries += 1;
+        run.speed_known = true;
         job.started = true;
         Some(StartRequest {
             worker: worker.info.id.clone(),
--- a/components/shard/src/throttle.rs
+++ b/components/shard/src/throttle.rs
@@ -42,8 +42,10 @@
                 LatencyPressure::Low => (run.speed_percent + run.speed_percent / 2 + 10).min(100),
                 LatencyPressure::Moderate => run.speed_percent,
             };
-            if percent != run.speed_percent {
+            let confirms = !run.speed_known && matches!(pressure, LatencyPressure::Low);
+            if percent != run.speed_percent || confirms {
                 run.speed_percent = percent;
+                run.speed_known = true;
                 run.speed_changed = now;
                 changes.push((*task, run.number, percent));
             }
--- a/components/shard/src/worker.rs
+++ b/components/shard/src/worker.rs
@@ -88,6 +88,8 @@
     pub metric: u64,
     /// Speed that it is set to, in percent of full speed.
     pub speed_percent: u32,
+    /// This owner has started it or set its speed; an earlier one may have paused it otherwise.
+    pub speed_known: bool,
     pub speed_changed: Ms,
     /// When a report did not list it though a stop for it was due again.
     pub absent_at: Ms,
--- a/components/shard/tests/fleet/failures.rs
+++ b/components/shard/tests/fleet/failures.rs
@@ -391,3 +391,21 @@
     expect_that!(fleet.job_state("a"), some(eq(JobState::Completed)));
     expect_that!(fleet.start_requests.len(), eq(600));
 }
+
+/// Guards against a task that stays paused after a change of owner.
+#[gtest]
+fn a_paused_task_speeds_up_under_the_next_owner() {
+    let mut fleet = Fleet::known(1, 4_000);
+    fleet.work_ms = 600_000;
+    let mut serving = long_running("s", 1, 100);
+    serving.steps[0].latency_target = 100;
+    fleet.submit(serving);
+    fleet.submit(job("f", vec![StepSpec { best_effort: true, ..step(1, 100) }]));
+    fleet.tail_latency = 500;
+    fleet.advance(8_000);
+    assert_eq!(fleet.speeds.last(), Some(&0));
+    fleet.change_owner();
+    fleet.tail_latency = 1;
+    fleet.advance(10_000);
+    expect_that!(fleet.speeds.last(), some(gt(&0)));
+}
