A job counts as waiting until a run of it is known to have begun

A job counted as begun once a start had been sent; the starts of these jobs had got no answer and were sent again, and none had been carried out.

What counts is a run that the worker confirmed, listed or ended. The state that a job is shown in is unchanged.

a_job_whose_start_is_unanswered_counts_as_waiting_until_it_has_begun failed before.

--- a/components/shard/src/completion.rs
+++ b/components/shard/src/completion.rs
@@ -23,6 +23,9 @@
         worker.ends_seen = end.sequence;
         worker.ends_known = true;
         let Some(task) = self.task_ref(&end.task_id).filter(|t| self.knows_task(t)) else { return };
+        if let Some(job) = self.jobs.get_mut(&task.step_ref.job) {
+            job.begun = true;
+        }
         let current = self.workers[key].runs.get(&task).is_some_and(|r| r.number == end.run);
         let run = if current { self.remove_run(key, &task) } else { None };
         self.note_checkpoint(&task, &end.checkpoint);
--- a/components/shard/src/job.rs
+++ b/components/shard/src/job.rs
@@ -128,8 +128,10 @@
     pub ended_at: u64,
     /// When it was accepted, on the monotonic clock.
     pub queued_since: Ms,
-    /// A task has started.
+    /// A start of one of its tasks has been sent.
     pub started: bool,
+    /// A run of it is known to have begun; a start without an answer may not have been carried out.
+    pub begun: bool,
     /// It was refused before and returned at the time that it was given.
     pub promised: bool,
     /// Expected work of the job of its queue that came before it, in thousandths of a core times milliseconds.
@@ -155,6 +157,7 @@
             ended_at: 0,
             queued_since,
             started: false,
+            begun: false,
             promised: false,
             other_size: 0.0,
             deferred: false,
--- a/components/shard/src/recovery.rs
+++ b/components/shard/src/recovery.rs
@@ -116,6 +116,7 @@
         self.with_task(&task, |t| t.last_run = t.last_run.max(number));
         if let Some(job) = self.jobs.get_mut(&task.step_ref.job) {
             job.started = true;
+            job.begun = true;
         }
     }
 
@@ -138,6 +139,7 @@
             job.completed = progress.completed();
             job.started =
                 !job.completed.is_empty() || progress.occurrences.iter().any(OccurrenceProgress::has_begun);
+            job.begun = job.started;
         }
         if verdict != Verdict::Open {
             return;
--- a/components/shard/src/report.rs
+++ b/components/shard/src/report.rs
@@ -272,6 +272,9 @@
         if shown && !kept {
             run.stop_cause = StopCause::Superseded;
         }
+        if let Some(job) = self.jobs.get_mut(&task.step_ref.job) {
+            job.begun = true;
+        }
         if begun || kept {
             run.phase = RunPhase::Running(now);
             run.stop_cause = StopCause::None;
@@ -321,6 +324,7 @@
             self.with_task(&task, |t| t.last_run = t.last_run.max(number));
             if let Some(job) = self.jobs.get_mut(&task.step_ref.job) {
                 job.started = true;
+                job.begun = true;
             }
         } else {
             run.stop(StopCause::Superseded);
--- a/components/shard/src/starts.rs
+++ b/components/shard/src/starts.rs
@@ -149,6 +149,9 @@
                     run.phase = RunPhase::Running(now);
                     run.progressed_at = now;
                     run.basis = Some((0, now));
+                    if let Some(job) = self.jobs.get_mut(&task.step_ref.job) {
+                        job.begun = true;
+                    }
                 }
             }
             StartReply::NoAnswer => {
--- a/components/shard/src/view.rs
+++ b/components/shard/src/view.rs
@@ -85,11 +85,11 @@
         self.workers.values().count()
     }
 
-    /// Number of accepted jobs of a queue that have not started.
+    /// Number of accepted jobs of a queue of which no run is known to have begun.
     #[must_use]
     pub fn queued_jobs(&self, queue: &str) -> usize {
         let is_queued = |j: &&crate::job::Job| {
-            j.stored && !j.started && j.verdict == Verdict::Open && j.spec.queue == queue
+            j.stored && !j.begun && j.verdict == Verdict::Open && j.spec.queue == queue
         };
         self.jobs.values().filter(is_queued).count()
     }
--- a/components/shard/tests/fleet/unanswered.rs
+++ b/components/shard/tests/fleet/unanswered.rs
@@ -177,3 +177,16 @@
     fleet.advance(5_000);
     expect_that!(fleet.workers[&first].starts, is_empty());
 }
+
+/// Guards against a count of waiting jobs that leaves out those whose starts were not carried out.
+#[gtest]
+fn a_job_whose_start_is_unanswered_counts_as_waiting_until_it_has_begun() {
+    let (mut fleet, first) = fleet_with_late_start(60_000);
+    fleet.lose_starts_to = Some(first);
+    fleet.advance(4_000);
+    expect_that!(fleet.start_requests.len(), gt(1));
+    expect_that!(fleet.shard.queued_jobs("q"), eq(1));
+    fleet.lose_starts_to = None;
+    fleet.advance(3_000);
+    expect_that!(fleet.shard.queued_jobs("q"), eq(0));
+}
