--- /dev/null
+++ b/review/rig3/cases.rs
@@ -0,0 +1,155 @@
+//! The cases. Each returns whether the rule held; an error means that the case could not run.
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::deployment::{Deployment, Queue};
+use crate::fleet::Step;
+
+type Outcome = std::io::Result<bool>;
+
+/// `finish_s` of the settings, and the span of the rule LOST.
+const FINISH: Duration = Duration::from_secs(14);
+const SPAN: Duration = Duration::from_secs(3);
+
+fn fail(text: &str) -> std::io::Error {
+    std::io::Error::other(text.to_owned())
+}
+
+/// Watches an accepted job as the rule LOST does: true if, from `from` on and until `until`, there is a span of 3 s in
+/// which nothing of it runs although there is room for it twice over on the workers in `fit`, and under half of the
+/// service's capacity is in use. The tenant has no maximum.
+fn stands_still(
+    deployment: &Deployment,
+    job: &str,
+    step: &Step,
+    (fit, service): (&[String], &[String]),
+    until: Instant,
+) -> bool {
+    const CORES: u64 = 16_000;
+    let mut since: Option<Instant> = None;
+    while Instant::now() < until {
+        let used = deployment.fleet.used_cpu();
+        let free = |id: &String| used.get(id).map_or(0, |u| CORES.saturating_sub(*u) / step.cpu);
+        let room: u64 = fit.iter().map(free).sum();
+        let busy: u64 = service.iter().filter_map(|id| used.get(id)).sum();
+        let half = busy * 2 < CORES * service.len() as u64;
+        let all_up = service.iter().all(|id| used.contains_key(id));
+        let idle = deployment.fleet.running(job) == 0;
+        if idle && all_up && half && room >= 2 * u64::from(step.count) {
+            let start = *since.get_or_insert_with(Instant::now);
+            if start.elapsed() >= SPAN {
+                deployment.record.line(&format!(
+                    "rule LOST: for 3 s nothing of {job} runs, though {room} of its {} tasks fit and {busy} of {} thousandths of a core are in use",
+                    step.count,
+                    CORES * service.len() as u64
+                ));
+                return true;
+            }
+        } else {
+            since = None;
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    false
+}
+
+/// A gang that comes after a job that can never be done.
+pub fn gang_after_hopeless_job(deployment: &mut Deployment, trouble: bool) -> Outcome {
+    let pool = deployment.add_workers("yard-desk", &["a", "a", "a", "a"])?;
+    deployment.add_workers("ferry-desk", &["a", "a", "a", "a"])?;
+    let queue = |name, service| Queue { name, service, priority: 1, max_attempts: 3 };
+    deployment.run(
+        &["yard-desk", "ferry-desk"],
+        &[queue("route-confirm", "yard-desk"), queue("ferry-book", "ferry-desk")],
+    )?;
+    // Nineteen jobs that can be done, and one that cannot: a share of 0.05.
+    let plain = Step::plain(8, 1_700, 300);
+    let hopeless = Step { hopeless: true, ..Step::plain(8, 8_000, 300) };
+    for n in 0..20 {
+        let id = format!("{:016x}", 0xa000 + n);
+        let step = if trouble && n == 19 { &hopeless } else { &plain };
+        if !deployment.submit("route-confirm", &id, std::slice::from_ref(step)) {
+            return Err(fail("a job was not accepted"));
+        }
+        thread::sleep(Duration::from_millis(150));
+    }
+    for n in 0..20 {
+        let id = format!("{:016x}", 0xa000 + n);
+        if !deployment.wait_for("route-confirm", &id, &["completed", "failed"], Duration::from_secs(15)) {
+            return Err(fail("a job of the first twenty has not ended"));
+        }
+    }
+    // The gang: it needs half of the pool, which is empty.
+    let gang = Step { gang: true, ..Step::plain(8, 4_000, 1_000) };
+    let id = format!("{:016x}", 0xb000);
+    if !deployment.submit("route-confirm", &id, std::slice::from_ref(&gang)) {
+        return Err(fail("the gang was not accepted"));
+    }
+    let done = deployment.wait_for("route-confirm", &id, &["completed"], FINISH);
+    // Jobs of the other queue are done all the while.
+    let other = format!("{:016x}", 0xc000);
+    let others = deployment.submit("ferry-book", &other, std::slice::from_ref(&plain))
+        && deployment.wait_for("ferry-book", &other, &["completed"], Duration::from_secs(10));
+    deployment.record.line(&format!("a job of another queue was done: {others}"));
+    if done {
+        return Ok(true);
+    }
+    let until = Instant::now() + Duration::from_secs(20);
+    let lost = stands_still(deployment, &id, &gang, (&pool, &pool), until);
+    // For the record only: a job without a gang is done by the same workers, and then the gang is.
+    let after = format!("{:016x}", 0xb001);
+    deployment.submit("route-confirm", &after, std::slice::from_ref(&plain));
+    deployment.wait_for("route-confirm", &after, &["completed"], Duration::from_secs(10));
+    deployment.wait_for("route-confirm", &id, &["completed"], Duration::from_secs(10));
+    Ok(!lost)
+}
+
+/// A job for the one worker of a kind, which went down and up by turns before.
+pub fn worker_after_restarts(deployment: &mut Deployment, trouble: bool) -> Outcome {
+    // Share 0.1 of the service's ten workers, by turns of 1.1 s for 6.5 s, eight times.
+    const PERIOD: Duration = Duration::from_millis(1_100);
+    const BURST: Duration = Duration::from_millis(6_500);
+    const BURSTS: u32 = 9;
+    const PAUSE: Duration = Duration::from_millis(1_500);
+    let kinds = ["b", "a", "a", "a", "a", "a", "a", "a", "a", "a"];
+    let pool = deployment.add_workers("yard-desk", &kinds)?;
+    let flapping = pool[0].clone();
+    deployment.run(
+        &["yard-desk"],
+        &[Queue { name: "route-confirm", service: "yard-desk", priority: 1, max_attempts: 3 }],
+    )?;
+    let task = Step { label: "b".into(), ..Step::plain(2, 1_700, 500) };
+    let first = format!("{:016x}", 0xa000);
+    if !deployment.submit("route-confirm", &first, std::slice::from_ref(&task))
+        || !deployment.wait_for("route-confirm", &first, &["completed"], Duration::from_secs(10))
+    {
+        return Err(fail("the first job was not done"));
+    }
+    for _ in 0..BURSTS {
+        let start = Instant::now();
+        while start.elapsed() < BURST {
+            if trouble {
+                let spec =
+                    deployment.fleet.crash(&flapping).ok_or_else(|| fail("the worker is not there"))?;
+                thread::sleep(PERIOD / 2);
+                deployment.fleet.boot(spec)?;
+                thread::sleep(PERIOD / 2);
+            } else {
+                thread::sleep(PERIOD);
+            }
+        }
+        thread::sleep(PAUSE);
+    }
+    // All is calm: the worker stays up.
+    thread::sleep(Duration::from_secs(8));
+    let last = format!("{:016x}", 0xb000);
+    if !deployment.submit("route-confirm", &last, std::slice::from_ref(&task)) {
+        return Err(fail("the last job was not accepted"));
+    }
+    if deployment.wait_for("route-confirm", &last, &["completed"], FINISH) {
+        return Ok(true);
+    }
+    let until = Instant::now() + Duration::from_secs(6);
+    Ok(!stands_still(deployment, &last, &task, (std::slice::from_ref(&flapping), &pool), until))
+}
--- /dev/null
+++ b/review/rig3/fleet.rs
@@ -0,0 +1,452 @@
+//! The workers and the machines' interface. All workers share one state, so that the members of a gang know each other.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use crate::http::{Answer, Request, Server};
+use crate::json::{Json, parse, quote};
+use crate::record::Record;
+use crate::store::Store;
+
+pub const HEARTBEAT: Duration = Duration::from_millis(1_500);
+const MAX_HOLD_MS: u64 = 10_000;
+const GANG_TIMEOUT_MS: u128 = 3_000;
+
+/// What the workers know of a job: its steps.
+#[derive(Clone, Debug)]
+pub struct Step {
+    pub count: u32,
+    pub cpu: u64,
+    pub mem: u64,
+    pub ms: u64,
+    pub gang: bool,
+    pub lasts: bool,
+    /// Its tasks can never be done: they fail after `ms`.
+    pub hopeless: bool,
+    pub label: String,
+}
+
+impl Step {
+    pub fn plain(count: u32, cpu: u64, ms: u64) -> Self {
+        Self { count, cpu, mem: 256, ms, gang: false, lasts: false, hopeless: false, label: String::new() }
+    }
+}
+
+struct Run {
+    number: u32,
+    begun: Instant,
+    /// When it was at work: for a gang, when all members were present.
+    work: Option<Instant>,
+}
+
+struct End {
+    number: u64,
+    task: String,
+    run: u32,
+    how: &'static str,
+}
+
+pub struct WorkerSpec {
+    pub id: String,
+    pub service: String,
+    pub zone: String,
+    pub labels: Vec<String>,
+    pub cpu: u64,
+    pub mem: u64,
+    pub addr: SocketAddr,
+}
+
+struct Worker {
+    spec: WorkerSpec,
+    server: Option<Server>,
+    born: u64,
+    start: Instant,
+    sequence: u64,
+    fence: u64,
+    lease_until: u64,
+    runs: BTreeMap<String, Run>,
+    /// Highest run of each task that was stopped or ended here.
+    over: HashMap<String, u32>,
+    ends: Vec<End>,
+    last_end: u64,
+}
+
+impl Worker {
+    fn clock(&self) -> u64 {
+        self.start.elapsed().as_millis() as u64 + 1_000
+    }
+
+    fn finish(&mut self, task: &str, how: &'static str, record: &Record) {
+        let Some(run) = self.runs.remove(task) else { return };
+        self.last_end += 1;
+        self.over.insert(task.to_owned(), run.number);
+        self.ends.push(End { number: self.last_end, task: task.to_owned(), run: run.number, how });
+        record.line(&format!("worker {} ends {task} run {} {how}", self.spec.id, run.number));
+    }
+}
+
+#[derive(Default)]
+struct State {
+    workers: BTreeMap<String, Worker>,
+    jobs: HashMap<String, Vec<Step>>,
+}
+
+pub struct Fleet {
+    state: Mutex<State>,
+    changed: Condvar,
+    store: Arc<Store>,
+    record: Arc<Record>,
+    over: AtomicBool,
+}
+
+fn wall_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
+}
+
+/// Job, step and index in a task's name ID.K.STEP.INDEX.
+fn split(task: &str) -> Option<(String, usize, String)> {
+    let parts: Vec<&str> = task.split('.').collect();
+    let [job, k, step, _] = parts[..] else { return None };
+    Some((job.to_owned(), step.parse().ok()?, format!("{job}.{k}.{step}.")))
+}
+
+impl Fleet {
+    pub fn start(store: Arc<Store>, record: Arc<Record>) -> Arc<Self> {
+        let fleet = Arc::new(Self {
+            state: Mutex::default(),
+            changed: Condvar::new(),
+            store,
+            record,
+            over: AtomicBool::new(false),
+        });
+        let ticker = Arc::clone(&fleet);
+        thread::spawn(move || {
+            while !ticker.over.load(Ordering::SeqCst) {
+                ticker.tick();
+                thread::sleep(Duration::from_millis(10));
+            }
+        });
+        let beats = Arc::clone(&fleet);
+        thread::spawn(move || {
+            while !beats.over.load(Ordering::SeqCst) {
+                thread::sleep(HEARTBEAT);
+                let ids: Vec<String> = beats.state.lock().unwrap().workers.keys().cloned().collect();
+                ids.iter().for_each(|id| beats.register(id));
+            }
+        });
+        fleet
+    }
+
+    pub fn add_job(&self, id: &str, steps: &[Step]) {
+        self.state.lock().unwrap().jobs.insert(id.to_owned(), steps.to_vec());
+    }
+
+    /// Starts a worker, or starts one again under its id; it then knows nothing of before.
+    pub fn boot(self: &Arc<Self>, spec: WorkerSpec) -> std::io::Result<()> {
+        let (id, addr) = (spec.id.clone(), spec.addr);
+        let worker = Worker {
+            spec,
+            server: None,
+            born: wall_ms(),
+            start: Instant::now(),
+            sequence: 0,
+            fence: 0,
+            lease_until: 0,
+            runs: BTreeMap::new(),
+            over: HashMap::new(),
+            ends: Vec::new(),
+            last_end: 0,
+        };
+        self.record.line(&format!("worker {id} starts, born {}", worker.born));
+        self.state.lock().unwrap().workers.insert(id.clone(), worker);
+        let (fleet, own) = (Arc::clone(self), id.clone());
+        let server = Server::start(addr, move |request| fleet.handle(&own, &request))?;
+        if let Some(worker) = self.state.lock().unwrap().workers.get_mut(&id) {
+            worker.server = Some(server);
+        }
+        self.register(&id);
+        Ok(())
+    }
+
+    /// Crashes a worker: its port closes, and all that it ran is gone.
+    pub fn crash(&self, id: &str) -> Option<WorkerSpec> {
+        let worker = self.state.lock().unwrap().workers.remove(id)?;
+        worker.server.as_ref().inspect(|s| s.stop());
+        self.record.line(&format!("worker {id} crashes with {} runs", worker.runs.len()));
+        self.changed.notify_all();
+        Some(worker.spec)
+    }
+
+    pub fn stop(&self) {
+        self.over.store(true, Ordering::SeqCst);
+        for worker in self.state.lock().unwrap().workers.values() {
+            worker.server.as_ref().inspect(|s| s.stop());
+        }
+    }
+
+    /// Whether a worker is up, and the processor time that its runs take, in thousandths of a core.
+    pub fn used_cpu(&self) -> BTreeMap<String, u64> {
+        let state = self.state.lock().unwrap();
+        let cpu = |task: &String| {
+            split(task).and_then(|(job, step, _)| Some(state.jobs.get(&job)?.get(step)?.cpu)).unwrap_or(0)
+        };
+        state.workers.iter().map(|(id, w)| (id.clone(), w.runs.keys().map(cpu).sum())).collect()
+    }
+
+    /// Tasks of a job that run now.
+    pub fn running(&self, job: &str) -> usize {
+        let state = self.state.lock().unwrap();
+        let of_job = |task: &&String| task.split('.').next() == Some(job);
+        state.workers.values().map(|w| w.runs.keys().filter(of_job).count()).sum()
+    }
+
+    fn register(&self, id: &str) {
+        let mut state = self.state.lock().unwrap();
+        let Some(worker) = state.workers.get_mut(id) else { return };
+        worker.sequence += 1;
+        let spec = &worker.spec;
+        let labels: Vec<String> = spec.labels.iter().map(|l| quote(l)).collect();
+        let entry = format!(
+            "{{\"service\":{},\"address\":\"{}\",\"zone\":{},\"version\":\"1\",\"slots\":8,\"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":{},\"born\":{},\"capacity\":{{\"cpu\":{},\"memMb\":{},\"gpu\":0}},\"labels\":[{}]}}",
+            quote(&spec.service),
+            spec.addr,
+            quote(&spec.zone),
+            worker.sequence,
+            worker.born,
+            spec.cpu,
+            spec.mem,
+            labels.join(",")
+        );
+        drop(state);
+        self.store.put("keyed.servers", id, &entry);
+    }
+
+    /// Lets runs work and end.
+    fn tick(&self) {
+        let mut state = self.state.lock().unwrap();
+        let State { workers, jobs } = &mut *state;
+        let mut present: HashMap<(String, u32), u32> = HashMap::new();
+        for worker in workers.values() {
+            for (task, run) in &worker.runs {
+                if let Some((_, _, step)) = split(task) {
+                    *present.entry((step, run.number)).or_default() += 1;
+                }
+            }
+        }
+        let mut ended = false;
+        let mut gangs: Vec<(String, u32, &'static str)> = Vec::new();
+        for worker in workers.values_mut() {
+            let lapsed = worker.clock() > worker.lease_until;
+            let tasks: Vec<String> = worker.runs.keys().cloned().collect();
+            for task in tasks {
+                let Some((job, step, name)) = split(&task) else { continue };
+                let Some(spec) = jobs.get(&job).and_then(|s| s.get(step)) else { continue };
+                let Some(run) = worker.runs.get_mut(&task) else { continue };
+                let number = run.number;
+                if lapsed {
+                    worker.finish(&task, "lapsed", &self.record);
+                    ended = true;
+                    if spec.gang {
+                        gangs.push((name, number, "broken"));
+                    }
+                    continue;
+                }
+                let all = !spec.gang || present.get(&(name.clone(), number)) == Some(&spec.count);
+                if all && run.work.is_none() {
+                    run.work = Some(Instant::now());
+                }
+                let how = match run.work {
+                    Some(at) if spec.lasts && !spec.hopeless => {
+                        let _ = at;
+                        None
+                    }
+                    Some(at) if at.elapsed() >= Duration::from_millis(spec.ms) => {
+                        Some(if spec.hopeless { "failed" } else { "done" })
+                    }
+                    None if run.begun.elapsed().as_millis() >= GANG_TIMEOUT_MS => Some("alone"),
+                    _ => None,
+                };
+                if let Some(how) = how {
+                    worker.finish(&task, how, &self.record);
+                    ended = true;
+                    if spec.gang && how != "alone" {
+                        gangs.push((name, number, if how == "done" { "done" } else { "broken" }));
+                    }
+                }
+            }
+        }
+        // The members of a gang end together.
+        for (step, number, how) in gangs {
+            for worker in workers.values_mut() {
+                let of_gang = worker.runs.iter().filter(|(t, r)| t.starts_with(&step) && r.number == number);
+                let tasks: Vec<String> = of_gang.map(|(t, _)| t.clone()).collect();
+                tasks.iter().for_each(|t| worker.finish(t, how, &self.record));
+            }
+        }
+        if ended {
+            self.changed.notify_all();
+        }
+    }
+
+    fn handle(&self, id: &str, request: &Request) -> Answer {
+        if request.header("x-target-instance") != id {
+            return Some((421, b"{}".to_vec()));
+        }
+        let body = parse(&request.body)?;
+        let mut state = self.state.lock().unwrap();
+        let worker = state.workers.get_mut(id)?;
+        let token = body.number("fencingToken").unwrap_or(0);
+        if token < worker.fence {
+            let clock = worker.clock();
+            self.record
+                .line(&format!("worker {id} refuses {} token {token}: fence {}", request.path, worker.fence));
+            return Some((409, format!("{{\"clockMs\":{clock},\"reason\":\"fence\"}}").into_bytes()));
+        }
+        worker.fence = token;
+        let (status, text) = match request.path.as_str() {
+            "/v1/run-start" => self.start_run(worker, &body),
+            "/v1/run-stop" => self.stop_run(worker, &body),
+            "/v1/pace" => (200, format!("{{\"clockMs\":{}}}", worker.clock())),
+            "/v1/hold" => {
+                drop(state);
+                return self.hold(id, &body);
+            }
+            _ => (404, "{}".into()),
+        };
+        Some((status, text.into_bytes()))
+    }
+
+    fn extend(worker: &mut Worker, body: &Json) {
+        if let Some(until) = body.number("deadlineMs") {
+            let most = worker.clock() + MAX_HOLD_MS;
+            worker.lease_until = worker.lease_until.max(until.min(most));
+        }
+    }
+
+    fn start_run(&self, worker: &mut Worker, body: &Json) -> (u16, String) {
+        let (task, number) = (body.text("task"), body.number("run").unwrap_or(0) as u32);
+        let clock = worker.clock();
+        let id = worker.spec.id.clone();
+        let refuse = |reason: &str| {
+            self.record.line(&format!("worker {id} refuses {task} run {number}: {reason}"));
+            (409, format!("{{\"clockMs\":{clock},\"reason\":\"{reason}\"}}"))
+        };
+        if body.number("deadlineMs").unwrap_or(0) <= clock {
+            return refuse("late");
+        }
+        Self::extend(worker, body);
+        if worker.over.get(&task).is_some_and(|n| number <= *n) {
+            return refuse("old");
+        }
+        if worker.runs.get(&task).is_none_or(|r| r.number < number) {
+            worker.runs.insert(task.clone(), Run { number, begun: Instant::now(), work: None });
+            self.record.line(&format!("worker {} begins {task} run {number}", worker.spec.id));
+        }
+        (200, format!("{{\"clockMs\":{clock}}}"))
+    }
+
+    fn stop_run(&self, worker: &mut Worker, body: &Json) -> (u16, String) {
+        let (task, number) = (body.text("task"), body.number("run").unwrap_or(0) as u32);
+        if worker.runs.get(&task).is_some_and(|r| r.number <= number) {
+            worker.finish(&task, "stopped", &self.record);
+        }
+        let over = worker.over.entry(task).or_default();
+        *over = number.max(*over);
+        (200, format!("{{\"clockMs\":{}}}", worker.clock()))
+    }
+
+    fn hold(&self, id: &str, body: &Json) -> Answer {
+        let until = Instant::now() + Duration::from_millis(body.number("waitMs").unwrap_or(0).min(2_000));
+        let seen = body.number("lastSeen").unwrap_or(0);
+        let mut state = self.state.lock().unwrap();
+        let born = state.workers.get(id)?.born;
+        {
+            let worker = state.workers.get_mut(id)?;
+            Self::extend(worker, body);
+            worker.ends.retain(|e| e.number > seen);
+        }
+        loop {
+            // A worker that crashes meanwhile sends nothing.
+            let worker = state.workers.get(id).filter(|w| w.born == born)?;
+            let now = Instant::now();
+            if !worker.ends.is_empty() || now >= until {
+                let running: Vec<String> = worker.runs.iter().map(|(t, r)| self.row(&state, t, r)).collect();
+                let ended: Vec<String> = worker
+                    .ends
+                    .iter()
+                    .take(500)
+                    .map(|e| format!("[{},{},{},\"{}\",\"\"]", e.number, quote(&e.task), e.run, e.how))
+                    .collect();
+                let text = format!(
+                    "{{\"clockMs\":{},\"born\":{born},\"running\":[{}],\"ended\":[{}]}}",
+                    worker.clock(),
+                    running.join(","),
+                    ended.join(",")
+                );
+                return Some((200, text.into_bytes()));
+            }
+            state = self.changed.wait_timeout(state, until - now).unwrap().0;
+        }
+    }
+
+    fn row(&self, state: &State, task: &str, run: &Run) -> String {
+        let step = split(task).and_then(|(job, step, _)| state.jobs.get(&job)?.get(step).cloned());
+        let percent = match (&step, run.work) {
+            (Some(step), Some(at)) if step.lasts => {
+                if at.elapsed() >= Duration::from_millis(700) {
+                    100
+                } else {
+                    0
+                }
+            }
+            (Some(step), Some(at)) => (at.elapsed().as_millis() as u64 * 100 / step.ms.max(1)).min(99),
+            _ => 0,
+        };
+        let cpu = step.map_or(0, |s| s.cpu);
+        format!("[{},{},\"\",{percent},{cpu}]", quote(task), run.number)
+    }
+}
+
+/// A machine, as `GET /v1/machines` shows it.
+#[derive(Clone)]
+pub struct Machine {
+    pub name: String,
+    pub pool: String,
+    pub zone: String,
+    pub labels: Vec<String>,
+    pub cpu: u64,
+    pub mem: u64,
+    /// Id of its worker; empty for one that is off.
+    pub worker: String,
+}
+
+/// The machines' interface. Each pool is one of other machines, so that none can move; upkeep is not asked for.
+pub fn serve_machines(
+    addr: SocketAddr,
+    machines: Vec<Machine>,
+    record: Arc<Record>,
+) -> std::io::Result<Server> {
+    Server::start(addr, move |request| match request.path.as_str() {
+        "/v1/machines" => {
+            let rows: Vec<String> = machines
+                .iter()
+                .map(|m| {
+                    let labels: Vec<String> = m.labels.iter().map(|l| quote(l)).collect();
+                    format!(
+                        "{{\"machine\":{},\"pool\":{},\"state\":\"up\",\"zone\":{},\"labels\":[{}],\"capacity\":{{\"cpu\":{},\"memMb\":{},\"gpu\":0}},\"id\":{}}}",
+                        quote(&m.name), quote(&m.pool), quote(&m.zone), labels.join(","), m.cpu, m.mem, quote(&m.worker)
+                    )
+                })
+                .collect();
+            Some((200, format!("{{\"machines\":[{}],\"nextToken\":\"\"}}", rows.join(",")).into_bytes()))
+        }
+        path => {
+            record.line(&format!("machines: {path} refused {}", String::from_utf8_lossy(&request.body)));
+            Some((400, b"{}".to_vec()))
+        }
+    })
+}
