--- a/review/rig3/cases.rs
+++ b/review/rig3/cases.rs
@@ -153,3 +153,92 @@
     let until = Instant::now() + Duration::from_secs(6);
     Ok(!stands_still(deployment, &last, &task, (std::slice::from_ref(&flapping), &pool), until))
 }
+
+/// Tasks that wait for a worker of a kind which crashes and comes back as another kind.
+pub fn worker_of_another_kind(deployment: &mut Deployment, trouble: bool) -> Outcome {
+    const CRASHES: usize = 8;
+    let kinds = ["b", "a", "a", "a", "a", "a", "a", "a"];
+    let pool = deployment.add_workers("yard-desk", &kinds)?;
+    let changing = pool[0].clone();
+    deployment.run(
+        &["yard-desk"],
+        &[Queue { name: "route-confirm", service: "yard-desk", priority: 1, max_attempts: 3 }],
+    )?;
+    let task = Step { label: "b".into(), ..Step::plain(4, 6_000, 600) };
+    for n in 0..CRASHES {
+        // More tasks than the one worker of the kind takes at a time.
+        for k in 0..3 {
+            let id = format!("{:016x}", 0xa000 + 16 * n + k);
+            if !deployment.submit("route-confirm", &id, std::slice::from_ref(&task)) {
+                return Err(fail("a job was not accepted"));
+            }
+        }
+        thread::sleep(Duration::from_millis(700));
+        if trouble {
+            for kind in ["a", "b"] {
+                let mut spec =
+                    deployment.fleet.crash(&changing).ok_or_else(|| fail("the worker is not there"))?;
+                spec.labels[0] = kind.to_owned();
+                thread::sleep(Duration::from_millis(800));
+                deployment.fleet.boot(spec)?;
+                thread::sleep(Duration::from_millis(2_500));
+            }
+        } else {
+            thread::sleep(Duration::from_millis(6_600));
+        }
+    }
+    Ok(deployment.fleet.wrong_kinds() == 0)
+}
+
+/// Two waves that share their machines, while the machines' interface gives no answers for a moment.
+pub fn two_waves(deployment: &mut Deployment, trouble: bool) -> Outcome {
+    let _ = deployment.add_workers("yard-desk", &["a"; 6])?;
+    deployment.run(
+        &["yard-desk"],
+        &[Queue { name: "route-confirm", service: "yard-desk", priority: 1, max_attempts: 3 }],
+    )?;
+    thread::sleep(Duration::from_secs(3));
+    if trouble {
+        deployment.machines.plan_outage(Duration::from_millis(2_200));
+    }
+    let names = deployment.machines.names()[..2].to_vec();
+    let quoted: Vec<String> = names.iter().map(|n| format!("\"{n}\"")).collect();
+    for wave in [1, 2] {
+        deployment.machines.add_wave(wave, &names);
+        let request =
+            format!("{{\"wave\":{wave},\"machines\":[{}],\"durationS\":40,\"maximum\":2}}", quoted.join(","));
+        deployment.record.line(&format!("operator: op/wave/{wave} {request}"));
+        deployment.store.put("keyed.op", &format!("wave/{wave}"), &request);
+    }
+    let until = Instant::now() + Duration::from_secs(60);
+    let mut open = vec![1, 2];
+    let mut held = true;
+    while !open.is_empty() && Instant::now() < until {
+        open.retain(|&wave| {
+            let status = deployment.store.newest("keyed.status", &format!("wave/{wave}"));
+            if !status.is_some_and(|s| s.contains("completed")) {
+                return true;
+            }
+            let missing = deployment.machines.missing(wave);
+            deployment.record.line(&format!("status/wave/{wave} is completed; not begun: {missing:?}"));
+            held &= missing.is_empty();
+            false
+        });
+        thread::sleep(Duration::from_millis(20));
+    }
+    if !open.is_empty() {
+        return Err(fail("a wave has not ended"));
+    }
+    // What is missing stays so.
+    thread::sleep(Duration::from_secs(10));
+    for wave in [1, 2] {
+        let missing = deployment.machines.missing(wave);
+        deployment.record.line(&format!("10 s later, wave {wave}: not begun: {missing:?}"));
+    }
+    if !held {
+        deployment
+            .record
+            .line("rule MIXED: a wave was said to be completed though a machine has not begun its upkeep");
+    }
+    Ok(held)
+}
--- a/review/rig3/deployment.rs
+++ b/review/rig3/deployment.rs
@@ -9,7 +9,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::fleet::{Fleet, Machine, Step, WorkerSpec, serve_machines};
+use crate::fleet::{Fleet, Machine, Machines, Step, WorkerSpec};
 use crate::http::{Server, call};
 use crate::json::{parse, quote};
 use crate::record::Record;
@@ -39,7 +39,7 @@
     servers: Vec<Server>,
     next_worker: AtomicUsize,
     next_front: AtomicUsize,
-    machines: Vec<Machine>,
+    pub machines: Arc<Machines>,
 }
 
 /// A loopback network of this run on which the daemons' fixed ports are free.
@@ -62,6 +62,7 @@
         fs::create_dir_all(&folder)?;
         let store = Arc::new(Store::default());
         let fleet = Fleet::start(Arc::clone(&store), Arc::clone(&record));
+        let machines = Machines::new(Arc::clone(&fleet), Arc::clone(&record));
         Ok(Self {
             store,
             fleet,
@@ -72,7 +73,7 @@
             servers: Vec::new(),
             next_worker: AtomicUsize::new(0),
             next_front: AtomicUsize::new(0),
-            machines: Vec::new(),
+            machines,
         })
     }
 
@@ -89,7 +90,7 @@
             let labels = vec![(*kind).to_owned(), format!("r{}-{}", n % 3 + 1, n / 4 + 1)];
             let addr = free_port(self.ip(50 + (n % 150) as u8))?;
             let machine = format!("m-{n:03}");
-            self.machines.push(Machine {
+            self.machines.add(Machine {
                 name: machine,
                 pool: service.into(),
                 zone: zone.into(),
@@ -97,6 +98,7 @@
                 cpu: 16_000,
                 mem: 32_768,
                 worker: id.clone(),
+                state: "up",
             });
             self.fleet.boot(WorkerSpec {
                 id: id.clone(),
@@ -132,8 +134,7 @@
         );
         self.store.put("keyed.op", "config", &config);
         let store = self.store.start(SocketAddr::new(self.ip(40), 0))?;
-        let machines =
-            serve_machines(SocketAddr::new(self.ip(41), 0), self.machines.clone(), Arc::clone(&self.record))?;
+        let machines = self.machines.serve(SocketAddr::new(self.ip(41), 0))?;
         let (store_addr, machines_addr) = (store.addr(), machines.addr());
         self.servers.extend([store, machines]);
         for n in 1..=DAEMONS {
--- a/review/rig3/fleet.rs
+++ b/review/rig3/fleet.rs
@@ -15,6 +15,8 @@
 pub const HEARTBEAT: Duration = Duration::from_millis(1_500);
 const MAX_HOLD_MS: u64 = 10_000;
 const GANG_TIMEOUT_MS: u128 = 3_000;
+/// `maintenanceS` of the settings.
+const UPKEEP: Duration = Duration::from_secs(2);
 
 /// What the workers know of a job: its steps.
 #[derive(Clone, Debug)]
@@ -93,6 +95,8 @@
 struct State {
     workers: BTreeMap<String, Worker>,
     jobs: HashMap<String, Vec<Step>>,
+    /// Starts on workers without the label that the step requires.
+    wrong_kinds: usize,
 }
 
 pub struct Fleet {
@@ -181,6 +185,11 @@
         Some(worker.spec)
     }
 
+    /// The platform removes the entry of a worker that has left.
+    pub fn unregister(&self, id: &str) {
+        self.store.put("keyed.servers", id, "");
+    }
+
     pub fn stop(&self) {
         self.over.store(true, Ordering::SeqCst);
         for worker in self.state.lock().unwrap().workers.values() {
@@ -197,6 +206,10 @@
         state.workers.iter().map(|(id, w)| (id.clone(), w.runs.keys().map(cpu).sum())).collect()
     }
 
+    pub fn wrong_kinds(&self) -> usize {
+        self.state.lock().unwrap().wrong_kinds
+    }
+
     /// Tasks of a job that run now.
     pub fn running(&self, job: &str) -> usize {
         let state = self.state.lock().unwrap();
@@ -228,7 +241,7 @@
     /// Lets runs work and end.
     fn tick(&self) {
         let mut state = self.state.lock().unwrap();
-        let State { workers, jobs } = &mut *state;
+        let State { workers, jobs, .. } = &mut *state;
         let mut present: HashMap<(String, u32), u32> = HashMap::new();
         for worker in workers.values() {
             for (task, run) in &worker.runs {
@@ -298,7 +311,8 @@
         }
         let body = parse(&request.body)?;
         let mut state = self.state.lock().unwrap();
-        let worker = state.workers.get_mut(id)?;
+        let State { workers, jobs, wrong_kinds } = &mut *state;
+        let worker = workers.get_mut(id)?;
         let token = body.number("fencingToken").unwrap_or(0);
         if token < worker.fence {
             let clock = worker.clock();
@@ -308,7 +322,23 @@
         }
         worker.fence = token;
         let (status, text) = match request.path.as_str() {
-            "/v1/run-start" => self.start_run(worker, &body),
+            "/v1/run-start" => {
+                let required = split(&body.text("task"))
+                    .and_then(|(job, step, _)| Some(jobs.get(&job)?.get(step)?.label.clone()))
+                    .unwrap_or_default();
+                let suits = required.is_empty() || worker.spec.labels.contains(&required);
+                let before = worker.runs.len();
+                let answer = self.start_run(worker, &body);
+                if !suits && worker.runs.len() > before {
+                    *wrong_kinds += 1;
+                    self.record.line(&format!(
+                        "rule ROUTE: {} requires {required}, worker {id} has {:?}",
+                        body.text("task"),
+                        worker.spec.labels
+                    ));
+                }
+                answer
+            }
             "/v1/run-stop" => self.stop_run(worker, &body),
             "/v1/pace" => (200, format!("{{\"clockMs\":{}}}", worker.clock())),
             "/v1/hold" => {
@@ -420,33 +450,149 @@
     pub labels: Vec<String>,
     pub cpu: u64,
     pub mem: u64,
-    /// Id of its worker; empty for one that is off.
+    /// Id of its worker; empty while it has none.
     pub worker: String,
+    pub state: &'static str,
 }
 
-/// The machines' interface. Each pool is one of other machines, so that none can move; upkeep is not asked for.
-pub fn serve_machines(
-    addr: SocketAddr,
-    machines: Vec<Machine>,
+/// The machines' interface. Each pool is one of other machines, so that none can move.
+pub struct Machines {
+    rows: Mutex<Vec<Machine>>,
+    /// Machines of each wave.
+    waves: Mutex<HashMap<u64, Vec<String>>>,
+    /// Upkeeps that have begun: machine and wave.
+    begun: Mutex<Vec<(String, u64)>>,
+    /// Length of an outage that begins with the first call for an upkeep, and its end.
+    outage: Mutex<(Option<Duration>, Option<Instant>)>,
+    fleet: Arc<Fleet>,
     record: Arc<Record>,
-) -> std::io::Result<Server> {
-    Server::start(addr, move |request| match request.path.as_str() {
-        "/v1/machines" => {
-            let rows: Vec<String> = machines
-                .iter()
-                .map(|m| {
-                    let labels: Vec<String> = m.labels.iter().map(|l| quote(l)).collect();
-                    format!(
-                        "{{\"machine\":{},\"pool\":{},\"state\":\"up\",\"zone\":{},\"labels\":[{}],\"capacity\":{{\"cpu\":{},\"memMb\":{},\"gpu\":0}},\"id\":{}}}",
-                        quote(&m.name), quote(&m.pool), quote(&m.zone), labels.join(","), m.cpu, m.mem, quote(&m.worker)
-                    )
-                })
-                .collect();
-            Some((200, format!("{{\"machines\":[{}],\"nextToken\":\"\"}}", rows.join(",")).into_bytes()))
+}
+
+impl Machines {
+    pub fn new(fleet: Arc<Fleet>, record: Arc<Record>) -> Arc<Self> {
+        Arc::new(Self {
+            rows: Mutex::default(),
+            waves: Mutex::default(),
+            begun: Mutex::default(),
+            outage: Mutex::default(),
+            fleet,
+            record,
+        })
+    }
+
+    pub fn add(&self, machine: Machine) {
+        self.rows.lock().unwrap().push(machine);
+    }
+
+    pub fn names(&self) -> Vec<String> {
+        self.rows.lock().unwrap().iter().map(|m| m.name.clone()).collect()
+    }
+
+    pub fn add_wave(&self, number: u64, machines: &[String]) {
+        self.waves.lock().unwrap().insert(number, machines.to_vec());
+    }
+
+    /// Plans an outage, which begins with the first call for an upkeep.
+    pub fn plan_outage(&self, length: Duration) {
+        self.outage.lock().unwrap().0 = Some(length);
+    }
+
+    /// Machines of a wave whose upkeep has not begun.
+    pub fn missing(&self, wave: u64) -> Vec<String> {
+        let (waves, begun) = (self.waves.lock().unwrap(), self.begun.lock().unwrap());
+        let of_wave = waves.get(&wave).cloned().unwrap_or_default();
+        of_wave.into_iter().filter(|m| !begun.contains(&(m.clone(), wave))).collect()
+    }
+
+    pub fn serve(self: &Arc<Self>, addr: SocketAddr) -> std::io::Result<Server> {
+        let machines = Arc::clone(self);
+        Server::start(addr, move |request| machines.handle(&request))
+    }
+
+    fn is_out(&self, path: &str) -> bool {
+        let mut outage = self.outage.lock().unwrap();
+        if path == "/v1/machine-upkeep"
+            && let Some(length) = outage.0.take()
+        {
+            self.record.line(&format!("machines: no answers for {length:?}"));
+            outage.1 = Some(Instant::now() + length);
+        }
+        outage.1.is_some_and(|end| Instant::now() < end)
+    }
+
+    fn handle(self: &Arc<Self>, request: &Request) -> Answer {
+        if self.is_out(&request.path) {
+            let body = String::from_utf8_lossy(&request.body);
+            self.record
+                .line(&format!("machines: {} {body} gets no answer and is not carried out", request.path));
+            return None;
+        }
+        match request.path.as_str() {
+            "/v1/machines" => Some((200, self.list().into_bytes())),
+            "/v1/machine-upkeep" => {
+                let body = parse(&request.body)?;
+                let (name, wave) = (body.text("machine"), body.number("wave").unwrap_or(0));
+                let answer = self.upkeep(&name, wave);
+                self.record.line(&format!("machines: upkeep of {name} for wave {wave} -> {answer:?}"));
+                Some((answer.0, answer.1.as_bytes().to_vec()))
+            }
+            _ => Some((400, b"{}".to_vec())),
         }
-        path => {
-            record.line(&format!("machines: {path} refused {}", String::from_utf8_lossy(&request.body)));
-            Some((400, b"{}".to_vec()))
+    }
+
+    fn list(&self) -> String {
+        let rows = self.rows.lock().unwrap();
+        let rows: Vec<String> = rows
+            .iter()
+            .map(|m| {
+                let labels: Vec<String> = m.labels.iter().map(|l| quote(l)).collect();
+                format!(
+                    "{{\"machine\":{},\"pool\":{},\"state\":\"{}\",\"zone\":{},\"labels\":[{}],\"capacity\":{{\"cpu\":{},\"memMb\":{},\"gpu\":0}},\"id\":{}}}",
+                    quote(&m.name),
+                    quote(&m.pool),
+                    m.state,
+                    quote(&m.zone),
+                    labels.join(","),
+                    m.cpu,
+                    m.mem,
+                    quote(&m.worker)
+                )
+            })
+            .collect();
+        format!("{{\"machines\":[{}],\"nextToken\":\"\"}}", rows.join(","))
+    }
+
+    fn upkeep(self: &Arc<Self>, name: &str, wave: u64) -> (u16, &'static str) {
+        let of_wave = self.waves.lock().unwrap().get(&wave).is_some_and(|m| m.iter().any(|n| n == name));
+        if !of_wave {
+            return (409, "{\"reason\":\"wave\"}");
+        }
+        if self.begun.lock().unwrap().contains(&(name.to_owned(), wave)) {
+            return (200, "{}");
         }
-    })
+        let mut rows = self.rows.lock().unwrap();
+        let Some(row) = rows.iter_mut().find(|m| m.name == name) else { return (400, "{}") };
+        if row.state != "up" {
+            return (409, "{\"reason\":\"busy\"}");
+        }
+        row.state = "upkeep";
+        let worker = std::mem::take(&mut row.worker);
+        drop(rows);
+        self.begun.lock().unwrap().push((name.to_owned(), wave));
+        let (machines, name) = (Arc::clone(self), name.to_owned());
+        thread::spawn(move || {
+            let Some(mut spec) = machines.fleet.crash(&worker) else { return };
+            machines.fleet.unregister(&worker);
+            thread::sleep(UPKEEP);
+            // A new worker joins the pool.
+            spec.id.push('x');
+            let id = spec.id.clone();
+            if machines.fleet.boot(spec).is_ok()
+                && let Some(row) = machines.rows.lock().unwrap().iter_mut().find(|m| m.name == name)
+            {
+                (row.state, row.worker) = ("up", id);
+            }
+        });
+        (200, "{}")
+    }
 }
--- a/review/rig3/main.rs
+++ b/review/rig3/main.rs
@@ -46,6 +46,8 @@
     let outcome = match case {
         "gang" => cases::gang_after_hopeless_job(&mut deployment, trouble),
         "restarts" => cases::worker_after_restarts(&mut deployment, trouble),
+        "kind" => cases::worker_of_another_kind(&mut deployment, trouble),
+        "waves" => cases::two_waves(&mut deployment, trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
     let run = deployment.daemons_run();
--- a/review/rig3/store.rs
+++ b/review/rig3/store.rs
@@ -128,6 +128,13 @@
         self.changed.notify_all();
     }
 
+    /// Newest value of a key.
+    pub fn newest(&self, topic: &str, key: &str) -> Option<String> {
+        let state = self.state.lock().unwrap();
+        let log = state.logs.get(&(topic.to_owned(), 0))?;
+        log.newest.get(key).map(|(v, _)| String::from_utf8_lossy(v).into_owned())
+    }
+
     fn handle(&self, request: &Request) -> Answer {
         thread::sleep(ANSWER);
         let (status, body) = match request.path.as_str() {
