--- a/review/rig3/cases.rs
+++ b/review/rig3/cases.rs
@@ -242,3 +242,75 @@
     }
     Ok(held)
 }
+
+/// Jobs of a queue that goes to another service, handed in while a daemon is away, and again under the next config.
+pub fn queue_to_another_service(deployment: &mut Deployment, trouble: bool) -> Outcome {
+    const SERVICES: [&str; 3] = ["dairy-desk", "beef-desk", "yard-desk"];
+    const APPLY: Duration = Duration::from_secs(2);
+    for service in SERVICES {
+        deployment.add_workers(service, &["a"; 4])?;
+    }
+    let queue = |service| Queue { name: "slot-quote", service, priority: 0, max_attempts: 4 };
+    deployment.run(&SERVICES, &[queue(SERVICES[0])])?;
+    let plain = Step::plain(4, 1_000, 300);
+    let submit =
+        |deployment: &Deployment, id: &str| deployment.submit("slot-quote", id, std::slice::from_ref(&plain));
+    let first = format!("{:016x}", 0xa000);
+    if !submit(deployment, &first) {
+        return Err(fail("the first job was not accepted"));
+    }
+    deployment.configure(8, &SERVICES, &[queue(SERVICES[1])]);
+    thread::sleep(APPLY + Duration::from_secs(2));
+    let second = format!("{:016x}", 0xa001);
+    if !submit(deployment, &second)
+        || !deployment.wait_for("slot-quote", &second, &["completed"], Duration::from_secs(10))
+        || deployment.fleet.services_of(&second).iter().any(|s| s != SERVICES[1])
+    {
+        return Err(fail("the second job did not run on the second service"));
+    }
+    let holder = |service| deployment.partition(service).and_then(|p| deployment.holder(p));
+    let holders: Vec<Option<u8>> = SERVICES.into_iter().map(holder).collect();
+    deployment.record.line(&format!("holders of the services' partitions: {holders:?}"));
+    let [Some(home), Some(away), _] = holders[..] else { return Err(fail("a partition has no holder")) };
+    if home == away {
+        return Err(fail("one daemon holds both partitions"));
+    }
+    let jobs: Vec<String> = (0..5).map(|n| format!("{:016x}", 0xb000 + n)).collect();
+    let mut refused = Vec::new();
+    if trouble {
+        deployment.kill(away);
+        for id in &jobs {
+            if deployment.submit_at(home, "slot-quote", id, std::slice::from_ref(&plain)) == Some(503) {
+                refused.push(id.clone());
+            }
+        }
+        thread::sleep(Duration::from_millis(500));
+        deployment.spawn(away)?;
+        if refused.is_empty() {
+            return Err(fail("no job was refused"));
+        }
+    } else {
+        refused.clone_from(&jobs);
+    }
+    thread::sleep(Duration::from_secs(6));
+    deployment.configure(13, &SERVICES, &[queue(SERVICES[2])]);
+    thread::sleep(APPLY + Duration::from_secs(4));
+    let mut held = true;
+    for id in &refused {
+        if !submit(deployment, id) {
+            return Err(fail("a job was not accepted"));
+        }
+        if !deployment.wait_for("slot-quote", id, &["completed"], Duration::from_secs(10)) {
+            return Err(fail("a job was not done"));
+        }
+        let services = deployment.fleet.services_of(id);
+        deployment.record.line(&format!("{id} ran on {services:?}"));
+        if services.iter().any(|s| s != SERVICES[2]) {
+            deployment.record.line(&format!(
+                "rule CONFIG: {id}, handed in over 2 s after the ack of config 13, ran as config 8 allows"
+            ));
+            held = false;
+        }
+    }
+    Ok(held)
+}
--- a/review/rig3/deployment.rs
+++ b/review/rig3/deployment.rs
@@ -116,6 +116,22 @@
 
     /// Starts the store's and the machines' interface, and the daemons, under one config.
     pub fn run(&mut self, services: &[&str], queues: &[Queue]) -> std::io::Result<()> {
+        self.configure(3, services, queues);
+        let store = self.store.start(SocketAddr::new(self.ip(40), 0))?;
+        let machines = self.machines.serve(SocketAddr::new(self.ip(41), 0))?;
+        let (store_addr, machines_addr) = (store.addr(), machines.addr());
+        self.servers.extend([store, machines]);
+        for n in 1..=DAEMONS {
+            let settings = self.settings(n, store_addr, machines_addr);
+            let path = self.folder.join(format!("daemon-{n}.toml"));
+            fs::write(&path, settings)?;
+            self.spawn(n)?;
+        }
+        self.wait_ready()
+    }
+
+    /// Writes a config.
+    pub fn configure(&self, version: u64, services: &[&str], queues: &[Queue]) {
         let routes: Vec<String> = queues
             .iter()
             .map(|q| {
@@ -128,30 +144,59 @@
         let pools: Vec<String> =
             services.iter().map(|s| format!("{{\"name\":{},\"admissionCheck\":false}}", quote(s))).collect();
         let config = format!(
-            "{{\"version\":3,\"routes\":[{}],\"services\":[{}],\"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000}},\"tenants\":[{{\"name\":\"farm\",\"apiKeys\":[\"{KEY}\"],\"weight\":10,\"maximum\":{{}}}}]}}",
+            "{{\"version\":{version},\"routes\":[{}],\"services\":[{}],\"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000}},\"tenants\":[{{\"name\":\"farm\",\"apiKeys\":[\"{KEY}\"],\"weight\":10,\"maximum\":{{}}}}]}}",
             routes.join(","),
             pools.join(",")
         );
+        for queue in queues {
+            self.record
+                .line(&format!("operator: config {version}, {} goes to {}", queue.name, queue.service));
+        }
         self.store.put("keyed.op", "config", &config);
-        let store = self.store.start(SocketAddr::new(self.ip(40), 0))?;
-        let machines = self.machines.serve(SocketAddr::new(self.ip(41), 0))?;
-        let (store_addr, machines_addr) = (store.addr(), machines.addr());
-        self.servers.extend([store, machines]);
-        for n in 1..=DAEMONS {
-            let settings = self.settings(n, store_addr, machines_addr);
-            let path = self.folder.join(format!("daemon-{n}.toml"));
-            fs::write(&path, settings)?;
-            let log = File::create(self.folder.join(format!("daemon-{n}.log")))?;
-            let mut command = Command::new("target/release/lagoonrelay");
-            command.arg("relay").env_clear().env("LAGOONRELAY_BOOT", &path);
-            for name in ["PATH", "HOME", "LANG"] {
-                if let Ok(value) = std::env::var(name) {
-                    command.env(name, value);
-                }
+    }
+
+    /// Partition of a service, as a daemon has proposed it.
+    pub fn partition(&self, service: &str) -> Option<u64> {
+        let wanted = format!("Row {{ name: \"{service}\", partition: ");
+        let logs = (1..=DAEMONS)
+            .filter_map(|n| fs::read_to_string(self.folder.join(format!("daemon-{n}.log"))).ok());
+        let found: Vec<String> = logs.filter_map(|log| Some(log.split_once(&wanted)?.1.to_owned())).collect();
+        found.first()?.split(' ').next()?.parse().ok()
+    }
+
+    /// Number of the daemon that holds a partition.
+    pub fn holder(&self, partition: u64) -> Option<u8> {
+        let member = self.store.holder("keyed.shards", partition)?;
+        (1..=DAEMONS).find(|n| member.starts_with(&format!("{}:", self.ip(*n))))
+    }
+
+    /// Kills a daemon.
+    pub fn kill(&mut self, n: u8) {
+        let daemon = &mut self.daemons[usize::from(n - 1)];
+        let _ = daemon.kill();
+        let _ = daemon.wait();
+        self.record.line(&format!("daemon {n} is killed"));
+    }
+
+    /// Starts a daemon.
+    pub fn spawn(&mut self, n: u8) -> std::io::Result<()> {
+        let path = self.folder.join(format!("daemon-{n}.toml"));
+        let log =
+            File::options().create(true).append(true).open(self.folder.join(format!("daemon-{n}.log")))?;
+        let mut command = Command::new("target/release/lagoonrelay");
+        command.arg("relay").env_clear().env("LAGOONRELAY_BOOT", &path);
+        for name in ["PATH", "HOME", "LANG"] {
+            if let Ok(value) = std::env::var(name) {
+                command.env(name, value);
             }
-            self.daemons.push(command.stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log).spawn()?);
         }
-        self.wait_ready()
+        let child = command.stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log).spawn()?;
+        self.record.line(&format!("daemon {n} starts"));
+        match self.daemons.get_mut(usize::from(n - 1)) {
+            Some(old) => *old = child,
+            None => self.daemons.push(child),
+        }
+        Ok(())
     }
 
     fn settings(&self, n: u8, store: SocketAddr, machines: SocketAddr) -> String {
@@ -185,6 +230,10 @@
 
     fn ask(&self, method: &str, queue: &str, id: &str, body: &str) -> Option<(u16, String)> {
         let n = self.next_front.fetch_add(1, Ordering::SeqCst) as u8 % DAEMONS + 1;
+        self.ask_daemon(n, method, queue, id, body)
+    }
+
+    fn ask_daemon(&self, n: u8, method: &str, queue: &str, id: &str, body: &str) -> Option<(u16, String)> {
         let (host, auth) = (format!("{queue}.example"), format!("Token {KEY}"));
         let headers = [
             ("Host", host.as_str()),
@@ -212,6 +261,16 @@
         false
     }
 
+    /// Hands a job in once, at one daemon; returns the status.
+    pub fn submit_at(&self, n: u8, queue: &str, id: &str, steps: &[Step]) -> Option<u16> {
+        self.fleet.add_job(id, steps);
+        let rows: Vec<String> = steps.iter().map(step_json).collect();
+        let body = format!("{{\"taskSpec\":\"spec of {id}\",\"steps\":[{}]}}", rows.join(","));
+        let status = self.ask_daemon(n, "POST", queue, id, &body).map(|a| a.0);
+        self.record.line(&format!("client: POST {queue}/{id} at daemon {n} -> {status:?}"));
+        status
+    }
+
     /// State of a job as a daemon shows it.
     pub fn state(&self, queue: &str, id: &str) -> String {
         match self.ask("GET", queue, id, "") {
--- a/review/rig3/fleet.rs
+++ b/review/rig3/fleet.rs
@@ -97,6 +97,8 @@
     jobs: HashMap<String, Vec<Step>>,
     /// Starts on workers without the label that the step requires.
     wrong_kinds: usize,
+    /// Services on whose workers tasks of a job have begun.
+    begun_at: HashMap<String, Vec<String>>,
 }
 
 pub struct Fleet {
@@ -206,6 +208,11 @@
         state.workers.iter().map(|(id, w)| (id.clone(), w.runs.keys().map(cpu).sum())).collect()
     }
 
+    /// Services on whose workers tasks of a job have begun.
+    pub fn services_of(&self, job: &str) -> Vec<String> {
+        self.state.lock().unwrap().begun_at.get(job).cloned().unwrap_or_default()
+    }
+
     pub fn wrong_kinds(&self) -> usize {
         self.state.lock().unwrap().wrong_kinds
     }
@@ -311,7 +318,7 @@
         }
         let body = parse(&request.body)?;
         let mut state = self.state.lock().unwrap();
-        let State { workers, jobs, wrong_kinds } = &mut *state;
+        let State { workers, jobs, wrong_kinds, begun_at } = &mut *state;
         let worker = workers.get_mut(id)?;
         let token = body.number("fencingToken").unwrap_or(0);
         if token < worker.fence {
@@ -329,6 +336,11 @@
                 let suits = required.is_empty() || worker.spec.labels.contains(&required);
                 let before = worker.runs.len();
                 let answer = self.start_run(worker, &body);
+                if worker.runs.len() > before
+                    && let Some((job, ..)) = split(&body.text("task"))
+                {
+                    begun_at.entry(job).or_default().push(worker.spec.service.clone());
+                }
                 if !suits && worker.runs.len() > before {
                     *wrong_kinds += 1;
                     self.record.line(&format!(
--- a/review/rig3/store.rs
+++ b/review/rig3/store.rs
@@ -135,6 +135,11 @@
         log.newest.get(key).map(|(v, _)| String::from_utf8_lossy(v).into_owned())
     }
 
+    /// Member that holds a partition.
+    pub fn holder(&self, topic: &str, part: u64) -> Option<String> {
+        self.state.lock().unwrap().group.holders.get(&(topic.to_owned(), part)).cloned()
+    }
+
     fn handle(&self, request: &Request) -> Answer {
         thread::sleep(ANSWER);
         let (status, body) = match request.path.as_str() {
