--- a/review/rig3/cases.rs
+++ b/review/rig3/cases.rs
@@ -314,3 +314,50 @@
     }
     Ok(held)
 }
+
+/// Orders are carried out late, and some workers start again under their ids meanwhile.
+pub fn late_orders(deployment: &mut Deployment, trouble: bool) -> Outcome {
+    let pool = deployment.add_workers("beef-desk", &["a"; 8])?;
+    deployment.run(
+        &["beef-desk"],
+        &[Queue { name: "beef-quote", service: "beef-desk", priority: 0, max_attempts: 4 }],
+    )?;
+    let plain = Step::plain(16, 800, 150);
+    let start = Instant::now();
+    let mut crashes: Vec<f64> = (0..10).map(|n| 7.0 + 1.2 * f64::from(n)).collect();
+    let mut leaves = vec![3.0, 10.0];
+    let mut down: Option<(Instant, crate::fleet::WorkerSpec)> = None;
+    let mut jobs = Vec::new();
+    while start.elapsed() < Duration::from_secs(20) {
+        let at = start.elapsed().as_secs_f64();
+        if trouble && leaves.first().is_some_and(|due| at >= *due) {
+            leaves.remove(0);
+            deployment.fleet.leave_orders(Duration::from_millis(5_500));
+        }
+        if trouble && crashes.first().is_some_and(|due| at >= *due) {
+            crashes.remove(0);
+            down =
+                deployment.fleet.crash(&deployment.fleet.most_late(&pool)).map(|spec| (Instant::now(), spec));
+        }
+        if let Some((since, spec)) = down.take() {
+            if since.elapsed() < Duration::from_millis(500) {
+                down = Some((since, spec));
+            } else {
+                deployment.fleet.boot(spec)?;
+            }
+        }
+        let id = format!("{:016x}", 0xa000 + jobs.len());
+        if !deployment.submit("beef-quote", &id, std::slice::from_ref(&plain)) {
+            return Err(fail("a job was not accepted"));
+        }
+        jobs.push(id);
+        thread::sleep(Duration::from_millis(70));
+    }
+    if let Some((_, spec)) = down {
+        deployment.fleet.boot(spec)?;
+    }
+    thread::sleep(Duration::from_secs(8));
+    let ended = jobs.iter().filter(|id| deployment.state("beef-quote", id) == "completed").count();
+    deployment.record.line(&format!("{ended} of {} jobs are completed", jobs.len()));
+    Ok(deployment.fleet.begun_again() == 0)
+}
--- a/review/rig3/fleet.rs
+++ b/review/rig3/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -99,6 +99,12 @@
     wrong_kinds: usize,
     /// Services on whose workers tasks of a job have begun.
     begun_at: HashMap<String, Vec<String>>,
+    /// Tasks with a run that has ended `done`, and whether that end has been taken note of.
+    done: HashMap<String, bool>,
+    /// Runs that began after such an end had been taken note of.
+    begun_again: usize,
+    /// Orders that are still to be carried out, by worker.
+    late: HashMap<String, usize>,
 }
 
 pub struct Fleet {
@@ -107,6 +113,9 @@
     store: Arc<Store>,
     record: Arc<Record>,
     over: AtomicBool,
+    /// Until when half of the orders get no answer and are carried out 2 to 12 s later.
+    late_until: Mutex<Option<Instant>>,
+    random: AtomicU64,
 }
 
 fn wall_ms() -> u64 {
@@ -128,6 +137,8 @@
             store,
             record,
             over: AtomicBool::new(false),
+            late_until: Mutex::default(),
+            random: AtomicU64::new(u64::from(std::process::id())),
         });
         let ticker = Arc::clone(&fleet);
         thread::spawn(move || {
@@ -170,7 +181,7 @@
         self.record.line(&format!("worker {id} starts, born {}", worker.born));
         self.state.lock().unwrap().workers.insert(id.clone(), worker);
         let (fleet, own) = (Arc::clone(self), id.clone());
-        let server = Server::start(addr, move |request| fleet.handle(&own, &request))?;
+        let server = Server::start(addr, move |request| fleet.receive(&own, request))?;
         if let Some(worker) = self.state.lock().unwrap().workers.get_mut(&id) {
             worker.server = Some(server);
         }
@@ -312,13 +323,59 @@
         }
     }
 
+    /// From now on, for a time, half of the orders get no answer and are carried out late.
+    pub fn leave_orders(&self, length: Duration) {
+        self.record.line(&format!(
+            "for {length:?} half of the orders to workers get no answer and are carried out late"
+        ));
+        *self.late_until.lock().unwrap() = Some(Instant::now() + length);
+    }
+
+    /// The worker with the most orders that are still to be carried out.
+    pub fn most_late(&self, pool: &[String]) -> String {
+        let state = self.state.lock().unwrap();
+        let late = |id: &&String| state.late.get(*id).copied().unwrap_or(0);
+        pool.iter().max_by_key(late).cloned().unwrap_or_default()
+    }
+
+    pub fn begun_again(&self) -> usize {
+        self.state.lock().unwrap().begun_again
+    }
+
+    fn draw(&self, below: u64) -> u64 {
+        let mut x = self.random.fetch_add(0x9E37_79B9_7F4A_7C15, Ordering::SeqCst);
+        x = (x ^ (x >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+        x = (x ^ (x >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+        (x ^ (x >> 31)) % below
+    }
+
+    fn receive(self: &Arc<Self>, id: &str, request: Request) -> Answer {
+        let order = matches!(request.path.as_str(), "/v1/run-start" | "/v1/run-stop");
+        let leaves = self.late_until.lock().unwrap().is_some_and(|until| Instant::now() < until);
+        if !order || !leaves || self.draw(2) == 0 {
+            return self.handle(id, &request);
+        }
+        let (fleet, id) = (Arc::clone(self), id.to_owned());
+        let wait = Duration::from_millis(2_000 + self.draw(10_000));
+        *self.state.lock().unwrap().late.entry(id.clone()).or_default() += 1;
+        thread::spawn(move || {
+            thread::sleep(wait);
+            if let Some(count) = fleet.state.lock().unwrap().late.get_mut(&id) {
+                *count -= 1;
+            }
+            // While the worker is down, nothing takes the order, and it is gone.
+            fleet.handle(&id, &request);
+        });
+        None
+    }
+
     fn handle(&self, id: &str, request: &Request) -> Answer {
         if request.header("x-target-instance") != id {
             return Some((421, b"{}".to_vec()));
         }
         let body = parse(&request.body)?;
         let mut state = self.state.lock().unwrap();
-        let State { workers, jobs, wrong_kinds, begun_at } = &mut *state;
+        let State { workers, jobs, wrong_kinds, begun_at, done, begun_again, .. } = &mut *state;
         let worker = workers.get_mut(id)?;
         let token = body.number("fencingToken").unwrap_or(0);
         if token < worker.fence {
@@ -336,6 +393,13 @@
                 let suits = required.is_empty() || worker.spec.labels.contains(&required);
                 let before = worker.runs.len();
                 let answer = self.start_run(worker, &body);
+                if worker.runs.len() > before && done.get(&body.text("task")) == Some(&true) {
+                    *begun_again += 1;
+                    self.record.line(&format!(
+                        "rule TWICE: {} begins on worker {id} though a run of it has ended done and that was taken note of",
+                        body.text("task")
+                    ));
+                }
                 if worker.runs.len() > before
                     && let Some((job, ..)) = split(&body.text("task"))
                 {
@@ -409,7 +473,16 @@
         {
             let worker = state.workers.get_mut(id)?;
             Self::extend(worker, body);
+            let noted: Vec<String> = worker
+                .ends
+                .iter()
+                .filter(|e| e.number <= seen && e.how == "done")
+                .map(|e| e.task.clone())
+                .collect();
             worker.ends.retain(|e| e.number > seen);
+            for task in noted {
+                state.done.insert(task, true);
+            }
         }
         loop {
             // A worker that crashes meanwhile sends nothing.
--- a/review/rig3/main.rs
+++ b/review/rig3/main.rs
@@ -49,6 +49,7 @@
         "kind" => cases::worker_of_another_kind(&mut deployment, trouble),
         "waves" => cases::two_waves(&mut deployment, trouble),
         "route" => cases::queue_to_another_service(&mut deployment, trouble),
+        "late" => cases::late_orders(&mut deployment, trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
     let run = deployment.daemons_run();
