--- a/review/rig3/cases.rs
+++ b/review/rig3/cases.rs
@@ -206,7 +206,7 @@
     for wave in [1, 2] {
         deployment.machines.add_wave(wave, &names);
         let request =
-            format!("{{\"wave\":{wave},\"machines\":[{}],\"durationS\":40,\"maximum\":2}}", quoted.join(","));
+            format!("{{\"wave\":{wave},\"machines\":[{}],\"durationS\":26,\"maximum\":2}}", quoted.join(","));
         deployment.record.line(&format!("operator: op/wave/{wave} {request}"));
         deployment.store.put("keyed.op", &format!("wave/{wave}"), &request);
     }
