An end is not acknowledged while a start of its task may come

Cause: the owner acknowledged an end once its effects were stored, though a start of the same task had gone without an answer. An acknowledged end is final; the worker's next incarnation knows neither the end nor a fencing token, and carries the late start out.

Evidence: in the owner's log the run has four starts, three without an answer, all before its end; the run that begins after the restart has the same number, and no owner changed.

Change: an end that settles its task waits for its acknowledgement until no start of the task can be on its way, at most 400 ends of a worker. That only helps if the end and the start are at the same worker, so the task waits for it also while it is cordoned, and for a lease granted at the last moment if it is silent. The next owner knows such starts, and sends an inherited start that no report shows again under the same run number.

--- a/components/shard/src/batch.rs
+++ b/components/shard/src/batch.rs
@@ -29,6 +29,8 @@
     pub workers: Vec<(WorkerKey, bool)>,
     /// Planned runs that it records.
     pub starts: Vec<(WorkerKey, TaskRef, u32)>,
+    /// Runs of which it notes that a start went without an answer.
+    pub late_starts: Vec<(WorkerKey, TaskRef, u32)>,
     /// For each worker, its incarnation and the highest end whose effects it holds.
     pub ends: Vec<(WorkerKey, u64, u64)>,
     /// Deletions of expired jobs.
@@ -129,16 +131,29 @@
                         || batch.new_jobs.contains(&task.step_ref.job),
                     "a run is recorded before its job"
                 );
-                let unanswered = self.now < run.late_until();
+                // The start of an earlier run of the task may be the one that comes.
+                let late_until = self.task(task).map_or(0, |t| t.late_until).max(run.late_until());
+                let unanswered = self.now < late_until;
                 runs.push(RunRecord { task_id: task_id.to_string(), run: run.number, unanswered });
+                if self.now < run.late_until() {
+                    batch.late_starts.push((key, *task, run.number));
+                }
                 if run.phase == RunPhase::Planned {
                     batch.starts.push((key, *task, run.number));
                 }
             }
+            // A new owner reckons with these starts as well.
+            for start in worker.late_starts.iter().filter(|s| self.now < s.until) {
+                let task_id = start.task_id.to_string();
+                if !runs.iter().any(|r: &RunRecord| r.task_id == task_id) {
+                    runs.push(RunRecord { task_id, run: start.run, unanswered: true });
+                }
+            }
             // Without runs the record is deleted, and the log holds nothing of the worker's leases.
             let lease_left = if runs.is_empty() { 0 } else { worker.lease_left(&self.timing, self.now) };
             batch.workers.push((key, lease_left > 0));
-            if !runs.is_empty() || worker.recorded {
+            let recorded = !runs.is_empty();
+            if recorded || worker.recorded {
                 let stray_lease_left = worker.stray_lease_end.saturating_sub(self.now);
                 records.push(record::worker(&WorkerRecord {
                     id: worker.info.id.clone(),
@@ -150,7 +165,7 @@
                     unfenced: worker.is_unfenced(),
                 }));
                 let worker = &mut self.workers[key];
-                worker.recorded = !worker.runs.is_empty();
+                worker.recorded = recorded;
                 worker.lease_noted |= lease_left > 0;
                 bytes += records.last().map_or(0, |r| batch_bytes(std::slice::from_ref(r)));
             }
@@ -189,6 +204,12 @@
         }
         self.referrals_stored(batch.referrals);
         self.pending_starts.extend(batch.starts);
+        for (key, task, number) in batch.late_starts {
+            let run = self.workers.get_mut(key).and_then(|w| w.runs.get_mut(&task));
+            if let Some(run) = run.filter(|r| r.number == number) {
+                run.late_noted = true;
+            }
+        }
         for key in batch.jobs.into_iter().chain(batch.new_jobs) {
             self.job_stored(key);
         }
--- a/components/shard/src/completion.rs
+++ b/components/shard/src/completion.rs
@@ -26,37 +26,48 @@
         if let Some(job) = self.jobs.get_mut(&task.step_ref.job) {
             job.begun = true;
         }
-        let current = self.workers[key].runs.get(&task).is_some_and(|r| r.number == end.run);
+        let ended = self.workers[key].runs.get_mut(&task).filter(|r| r.number == end.run);
+        let current = ended.is_some();
+        ended.into_iter().for_each(Run::note_begun);
         let run = if current { self.remove_run(key, &task) } else { None };
         self.note_checkpoint(&task, &end.checkpoint);
+        let unanswered_until = run.as_ref().map_or(0, Run::late_until);
+        let late_until = self.late_starts_until(key, &task).max(unanswered_until);
+        self.settle_end(key, &task, end, run);
+        self.hold_end(key, end, &task, late_until);
+    }
+
+    /// Draws the consequences of an end for its task; `run` is that of the worker's table, if it was there.
+    fn settle_end(&mut self, key: WorkerKey, task: &TaskRef, end: &RunEnd, run: Option<Run>) {
         if self.jobs.get(&task.step_ref.job).is_none_or(|j| j.verdict != Verdict::Open) {
             return;
         }
-        self.with_task(&task, |t| t.last_run = t.last_run.max(end.run));
+        let current = run.is_some();
+        self.with_task(task, |t| t.last_run = t.last_run.max(end.run));
         match end.outcome {
             RunOutcome::Done => {
                 // A run that an earlier owner started and that no poll has reported since has no known duration.
                 if let Some(run) = run.as_ref().filter(|r| r.basis.is_some()) {
-                    self.record_duration(&task, run.planned_at);
-                    self.note_sibling(&task, run);
+                    self.record_duration(task, run.planned_at);
+                    self.note_sibling(task, run);
                 }
-                self.task_done(key, &task);
+                self.task_done(key, task);
             }
-            RunOutcome::Failed => self.task_failed(key, &task, end.run, current),
+            RunOutcome::Failed => self.task_failed(key, task, end.run, current),
             RunOutcome::Interrupted => {}
         }
         if current {
-            self.note_removed_run(key, &task);
+            self.note_removed_run(key, task);
         }
-        if current && self.placed_on(&task, key) {
+        if current && self.placed_on(task, key) {
             let stalled = run.is_some_and(|r| r.stop_cause == StopCause::Stalled);
-            self.with_task(&task, |t| {
+            self.with_task(task, |t| {
                 if stalled {
                     t.avoid(key);
                 }
             });
-            let not_before = self.restart_at(&task);
-            self.requeue(task, not_before);
+            let not_before = self.restart_at(task);
+            self.requeue(*task, not_before);
         }
     }
 
--- a/components/shard/src/job.rs
+++ b/components/shard/src/job.rs
@@ -75,6 +75,8 @@
     /// Earliest start.
     pub not_before: Ms,
     pub bound: Option<Bound>,
+    /// When no start of its earlier runs can be on its way any more.
+    pub late_until: Ms,
 }
 
 /// Worker that a start request for an earlier run of a task may still reach.
@@ -283,6 +285,7 @@
             avoided_workers: Vec::new(),
             not_before: 0,
             bound: None,
+            late_until: 0,
         };
         let tasks = (0..count).map(|_| task()).collect();
         Self { tasks, done_count: 0, waiting_count: count, took: 0.0, measured: 0 }
--- a/components/shard/src/lib.rs
+++ b/components/shard/src/lib.rs
@@ -21,6 +21,7 @@
 mod copy_odds;
 mod drain;
 mod health;
+mod held_ends;
 mod io;
 mod job;
 mod kept;
--- a/components/shard/src/recovery.rs
+++ b/components/shard/src/recovery.rs
@@ -6,7 +6,7 @@
 use crate::model::{TaskId, Verdict};
 use crate::record::{self, OccurrenceProgress, Progress, StoredRecord};
 use crate::state::Shard;
-use crate::worker::{Fence, RunPhase, Worker, WorkerInfo, WorkerKey};
+use crate::worker::{Fence, LATE_CALL_MS, RunPhase, UNKNOWN_TRIES, Worker, WorkerInfo, WorkerKey};
 
 impl Shard {
     /// Loads the newest record of each key in the shard's partition.
@@ -86,6 +86,11 @@
     fn inherit_run(&mut self, key: WorkerKey, task: TaskRef, record: &record::RunRecord) {
         let number = record.run;
         self.restore_occurrence(task.step_ref);
+        if record.unanswered {
+            let until = self.now + LATE_CALL_MS;
+            self.workers[key].late_until = until;
+            self.with_task(&task, |t| t.late_until = until);
+        }
         match self.task_state(&task) {
             // The run that lost may still be on its worker. It is restored to be stopped.
             Some(TaskState::Done) if self.copies_allowed(&task) => {}
@@ -102,7 +107,10 @@
         }
         let Some(mut run) = self.new_run(&task, number) else { return };
         run.phase = RunPhase::Inherited;
-        run.unanswered_at = if record.unanswered { self.now } else { 0 };
+        if record.unanswered {
+            run.unanswered_at = self.now;
+            run.tries = UNKNOWN_TRIES;
+        }
         self.charge(&run);
         self.workers[key].insert_run(task, run);
         if self.task_state(&task) == Some(TaskState::Done) {
--- a/components/shard/src/report.rs
+++ b/components/shard/src/report.rs
@@ -6,7 +6,7 @@
 use crate::job::{TaskRef, TaskState};
 use crate::model::TaskId;
 use crate::state::Shard;
-use crate::worker::{Fence, Reachability, Run, RunPhase, StopCause, WorkerKey};
+use crate::worker::{Fence, Reachability, Run, RunPhase, StopCause, UNKNOWN_TRIES, WorkerKey};
 
 /// Fencing tokens that silences of a worker leave to its restarts, of the 47 in a generation of the group.
 const TOKENS_FOR_RESTARTS: u64 = 24;
@@ -108,6 +108,7 @@
             worker.ends_seen = 0;
             worker.ends_known = restarted;
             worker.ends_stored = 0;
+            worker.held_ends.clear();
             worker.ends_acked = 0;
             worker.lease_end = 0;
         } else {
@@ -211,16 +212,14 @@
     fn drop_missing_runs(&mut self, key: WorkerKey, sent: Ms, listed: &HashSet<(TaskRef, u32)>) {
         let (now, timing) = (self.now, self.timing);
         let incarnation = self.workers[key].incarnation;
-        let (mut lost, mut unanswered) = (Vec::new(), Vec::new());
+        let (mut lost, mut inherited, mut unanswered) = (Vec::new(), Vec::new(), Vec::new());
         for (task, run) in &mut self.workers[key].runs {
             if listed.contains(&(*task, run.number)) {
                 continue;
             }
             match run.phase {
                 RunPhase::Running(at) | RunPhase::Stopped(at) if at < sent => lost.push((*task, run.number)),
-                // The poll carried a higher fencing token, so a delayed start of an earlier owner is
-                // rejected by this incarnation.
-                RunPhase::Inherited => lost.push((*task, run.number)),
+                RunPhase::Inherited => inherited.push((*task, run.number)),
                 RunPhase::Unconfirmed(at) if at < sent => unanswered.push(*task),
                 RunPhase::Stopping if now >= run.stop_sent_at + timing.stop_interval => run.absent_at = now,
                 _ => {}
@@ -232,6 +231,11 @@
                 self.follow_up_start(key, task);
             }
         }
+        for (task, run) in inherited {
+            if !self.expect_inherited_start(key, &task) {
+                lost.push((task, run));
+            }
+        }
         for (task, run) in lost {
             let task_id = self.task_id(&task).map(|n| n.to_string());
             tracing::info!(worker = %self.workers[key].info.id, task = task_id, run, incarnation, "shard: run disappeared without reporting its end");
@@ -241,6 +245,24 @@
         }
     }
 
+    /// Treats the start of an inherited run that its worker does not show like one that went without an answer, so that it
+    /// is sent again under its number; false if the run is lost. This incarnation refuses the start of the earlier owner,
+    /// as the poll carried a higher fencing token, but the next one may carry it out.
+    fn expect_inherited_start(&mut self, key: WorkerKey, task: &TaskRef) -> bool {
+        if self.task_state(task) != Some(TaskState::Placed(key)) {
+            return false;
+        }
+        let now = self.now;
+        let Some(run) = self.workers[key].runs.get_mut(task).filter(|r| !r.copies_allowed) else {
+            return false;
+        };
+        run.phase = RunPhase::Unconfirmed(now);
+        run.unanswered_at = now;
+        run.tries = UNKNOWN_TRIES;
+        self.dirty_workers.insert(key);
+        true
+    }
+
     /// Whether a run of the task can be on a worker. A job that is not stored yet has sent no start.
     pub(crate) fn knows_task(&self, task: &TaskRef) -> bool {
         let Some(job) = self.jobs.get(&task.step_ref.job).filter(|j| j.stored) else { return false };
@@ -278,10 +300,7 @@
         if begun || kept {
             run.phase = RunPhase::Running(now);
             run.stop_cause = StopCause::None;
-            if run.tries == 1 {
-                // Its only request has been carried out.
-                run.unanswered_at = 0;
-            }
+            run.note_begun();
             run.progressed_at = now;
             if done {
                 run.stop(StopCause::Superseded);
@@ -352,6 +371,7 @@
             phase: RunPhase::Sent,
             tries: 0,
             unanswered_at: 0,
+            late_noted: false,
             planned_at: self.now,
             reserved: step.reservation(),
             charge: step.charge(),
--- a/components/shard/src/starts.rs
+++ b/components/shard/src/starts.rs
@@ -37,10 +37,16 @@
     pub(crate) fn send_starts(&mut self) {
         for (key, task, number) in std::mem::take(&mut self.pending_starts) {
             let run = self.workers.get(key).and_then(|w| w.runs.get(&task));
-            let Some(phase) = run.filter(|r| r.number == number).map(|r| r.phase) else { continue };
+            let Some(run) = run.filter(|r| r.number == number) else { continue };
+            let phase = run.phase;
             if !matches!(phase, RunPhase::Planned | RunPhase::Unconfirmed(_)) {
                 continue;
             }
+            // A new owner takes a run without this note for one whose only request was carried out once it has begun.
+            if matches!(phase, RunPhase::Unconfirmed(_)) && !run.late_noted && !run.long_running {
+                self.pending_starts.push((key, task, number));
+                continue;
+            }
             if let Some(request) = self.start_request(key, &task, number) {
                 self.actions.push(Action::Start(request));
             } else if phase == RunPhase::Planned {
@@ -54,7 +60,12 @@
         let next = self.after_no_answer(key, &task);
         let Some(run) = self.workers[key].runs.get_mut(&task) else { return };
         match next {
-            Unanswered::Repeat => self.pending_starts.push((key, task, run.number)),
+            Unanswered::Repeat => {
+                let start = (key, task, run.number);
+                if !self.pending_starts.contains(&start) {
+                    self.pending_starts.push(start);
+                }
+            }
             Unanswered::Stop => {
                 run.stop(StopCause::Unanswered);
                 if run.tries >= MAX_START_TRIES {
@@ -141,6 +152,9 @@
         let worker = &mut self.workers[key];
         let token = worker.token;
         let Some(run) = worker.runs.get_mut(&task).filter(|r| r.number == number) else {
+            if reply == StartReply::NoAnswer {
+                self.note_late_start(&task, task_id);
+            }
             return;
         };
         match reply {
--- a/components/shard/src/state.rs
+++ b/components/shard/src/state.rs
@@ -236,23 +236,26 @@
     fn send_polls(&mut self) {
         // Without a log that answers, polls would only list the same ends again.
         let stalled = self.log_stalled();
+        let held_pause = self.held_poll_pause();
         for worker in self.workers.values_mut() {
             if worker.removed || worker.polling || self.now < worker.poll_at {
                 continue;
             }
-            let pending = worker.ends_seen > worker.ends_stored;
+            let final_ends = worker.final_ends(self.now);
+            let pending = worker.ends_seen > final_ends;
+            let pause = if final_ends < worker.ends_stored { held_pause } else { PENDING_POLL_PAUSE_MS };
             // The worker would report an unacknowledged end again at once, so wait for the log; but while that is
-            // slow, later ends must be in its next batch. Renew the lease in time.
+            // slow, or an end is held, later ends must be in its next batch. Renew the lease in time.
             let urgent = worker.lease_end < self.now + self.timing.max_lease() - self.timing.poll_wait;
-            if pending && !urgent && (stalled || self.now < worker.poll_at + PENDING_POLL_PAUSE_MS) {
+            if pending && !urgent && (stalled || self.now < worker.poll_at + pause) {
                 continue;
             }
             worker.polling = true;
             // A poll that meets another incarnation must grant nothing by its clock and acknowledge none of its ends.
             let current = worker.reachability == Reachability::Reachable && !worker.restart_listed();
             let known = current && !worker.lease_noted;
-            let unacked = current && worker.ends_stored > worker.ends_acked;
-            worker.poll_acked = if unacked { worker.ends_stored } else { 0 };
+            let unacked = current && final_ends > worker.ends_acked;
+            worker.poll_acked = if unacked { final_ends } else { 0 };
             let lease_until =
                 worker.estimated_clock(self.now).filter(|_| known).map(|c| c + self.timing.lease);
             if lease_until.is_some() {
--- a/components/shard/src/worker.rs
+++ b/components/shard/src/worker.rs
@@ -3,6 +3,8 @@
 use std::collections::HashMap;
 
 use crate::Ms;
+use crate::binding::LateStart;
+use crate::held_ends::HeldEnd;
 use crate::io::Timing;
 use crate::job::TaskRef;
 use crate::model::{Resources, TaskId};
@@ -10,6 +12,9 @@
 /// Longest time after which the platform carries out a call to a worker that it left without an answer.
 pub(crate) const LATE_CALL_MS: Ms = 12_000;
 
+/// Number of start requests that counts for a run of an earlier owner that left one without an answer; there may be more.
+pub(crate) const UNKNOWN_TRIES: u32 = 2;
+
 /// Index of a worker in the shard's table.
 pub(crate) type WorkerKey = u32;
 
@@ -64,6 +69,8 @@
     pub tries: u32,
     /// When the last of them went without an answer; 0 if each was answered.
     pub unanswered_at: Ms,
+    /// The log holds that one of them went without an answer.
+    pub late_noted: bool,
     pub planned_at: Ms,
     /// Capacity that it reserves on the worker.
     pub reserved: Resources,
@@ -177,12 +184,16 @@
     pub fence: Fence,
     /// Until when a start that it left without an answer may be carried out.
     pub late_until: Ms,
+    /// Runs that have left its table while a start of theirs may be on its way.
+    pub late_starts: Vec<LateStart>,
     /// Highest sequence number among the ends reported by this incarnation.
     pub ends_seen: u64,
     /// The number of its next end is known: this owner has met its predecessor, or seen an end of it.
     pub ends_known: bool,
     /// Highest sequence number among the ends whose effects are stored.
     pub ends_stored: u64,
+    /// Ends that are not to be acknowledged yet.
+    pub held_ends: Vec<HeldEnd>,
     /// Highest sequence number that a poll has acknowledged to this incarnation.
     pub ends_acked: u64,
     /// Sequence number that the last poll acknowledges; 0 for none.
@@ -243,9 +254,11 @@
             token,
             fence: Fence::Up,
             late_until: 0,
+            late_starts: Vec::new(),
             ends_seen: 0,
             ends_known: false,
             ends_stored: 0,
+            held_ends: Vec::new(),
             ends_acked: 0,
             poll_acked: 0,
             clock: None,
--- a/components/shard/tests/fleet/main.rs
+++ b/components/shard/tests/fleet/main.rs
@@ -16,6 +16,7 @@
 mod repeated_starts;
 mod restarts;
 mod review;
+mod settled_tasks;
 mod slow_log;
 mod standstill;
 mod storm;
