Maintenance for another wave is not taken for an unanswered order

Cause: a machine in maintenance on the list counted as the outcome of the wave's own unanswered order. The list does not say for which wave it is down; here the other wave's order, sent again first, had brought it about.

Change: for machines that several of the operators' waves have, only the platform's answer to the wave's own order counts. The order is sent again once the machine is up and drained; the platform answers success if the first one took effect. Machines of one wave are treated as before.

--- a/components/maintenance/src/lib.rs
+++ b/components/maintenance/src/lib.rs
@@ -5,6 +5,11 @@
 //! than the wave allows: a machine counts as unavailable from the moment its maintenance is ordered until the
 //! platform lists it as up again.
 //!
+//! The list does not say for which wave a machine is down. If only one wave has the machine, its own order must have
+//! brought that about, even an order that went without an answer. A machine that several waves share has its maintenance
+//! once for each of them, so there only the platform's answer to a wave's order tells that the maintenance has begun. An
+//! unanswered order is sent again once the machine is up: the platform answers success if the first one took effect.
+//!
 //! The crate does no I/O and reads no clock.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -81,6 +86,20 @@
     /// Machines of the wave that are down or moving without an order from this planner, such as those that an
     /// earlier coordinator ordered.
     already_down: usize,
+    /// Machines of the wave that other waves have, too.
+    shared: BTreeSet<String>,
+}
+
+/// Machines that are in several of the waves, each given by its machines.
+#[must_use]
+pub fn shared_machines<'a>(waves: impl Iterator<Item = &'a [String]>) -> BTreeSet<String> {
+    let (mut seen, mut shared) = (BTreeSet::new(), BTreeSet::new());
+    for machines in waves {
+        let distinct: BTreeSet<&String> = machines.iter().collect();
+        shared.extend(distinct.iter().filter(|m| seen.contains(*m)).map(|m| (*m).clone()));
+        seen.extend(distinct);
+    }
+    shared
 }
 
 impl Wave {
@@ -96,7 +115,19 @@
     ) -> Self {
         let initial = |m: &String| if started.contains(m) { Stage::Done } else { Stage::Pending };
         let stages = machines.iter().map(|m| (m.clone(), initial(m))).collect();
-        Self { stages, max_unavailable: max_unavailable.max(1), began, duration, already_down: 0 }
+        Self {
+            stages,
+            max_unavailable: max_unavailable.max(1),
+            began,
+            duration,
+            already_down: 0,
+            shared: BTreeSet::new(),
+        }
+    }
+
+    /// Sets which machines other waves have, too.
+    pub fn set_shared(&mut self, shared: &BTreeSet<String>) {
+        self.shared = shared.iter().filter(|m| self.stages.contains_key(*m)).cloned().collect();
     }
 
     /// Updates the stages from the platform's machine list; machines that are not listed leave the wave.
@@ -115,7 +146,10 @@
                 }
                 // A list from before the start may still show the machine as up.
                 (Stage::Started(at), MachineState::Up) if now >= *at + MAX_LIST_AGE => *stage = Stage::Done,
-                (Stage::Ordered(_), MachineState::Maintenance) => *stage = Stage::Started(now),
+                // A shared machine may be down for another wave.
+                (Stage::Ordered(_), MachineState::Maintenance) if !self.shared.contains(name) => {
+                    *stage = Stage::Started(now);
+                }
                 // Retrying is safe: the platform answers success if the first order took effect late.
                 (Stage::Ordered(at), MachineState::Up) if now >= *at + RETRY_DELAY => *stage = Stage::Pending,
                 _ => {}
--- a/components/maintenance/tests/waves.rs
+++ b/components/maintenance/tests/waves.rs
@@ -170,3 +170,63 @@
     }
     assert_that!(wave.plan(100, &machines, &runs, &BTreeSet::new(), 2), is_empty());
 }
+
+/// A wave whose only machine, `m0`, has an order without an answer, sent at time 0.
+fn wave_with_unanswered_order(machines: &[Machine]) -> Wave {
+    let mut wave = Wave::new(&["m0".to_owned()], 1, 0, DURATION_MS, &BTreeSet::new());
+    assert_that!(order_drained(&mut wave, 0, machines), eq(&vec![Action::Start("m0".to_owned())]));
+    wave.record_outcome(0, "m0", Outcome::Unknown);
+    wave
+}
+
+/// Drains `m0` and returns the orders that follow.
+fn order_drained(wave: &mut Wave, now: u64, machines: &[Machine]) -> Vec<Action> {
+    let runs = [("m0".to_owned(), 0)].into();
+    wave.plan(now, machines, &runs, &BTreeSet::new(), usize::MAX);
+    wave.plan(now, machines, &runs, &BTreeSet::new(), usize::MAX)
+}
+
+/// Observes a span in which `m0` is down for maintenance, and up at its end.
+fn observe_maintenance(wave: &mut Wave, machines: &mut [Machine], span: std::ops::Range<u64>) {
+    machines[0].state = MachineState::Maintenance;
+    for now in span.clone().step_by(100) {
+        wave.observe(now, machines);
+    }
+    machines[0].state = MachineState::Up;
+    wave.observe(span.end, machines);
+}
+
+// Guards against a wave that is complete without the maintenance of a machine which was down for another wave.
+#[gtest]
+fn maintenance_for_another_wave_is_not_taken_for_an_unanswered_order() {
+    let mut machines = machines(1);
+    let mut wave = wave_with_unanswered_order(&machines);
+    let waves = [vec!["m0".to_owned()], vec!["m0".to_owned(), "m1".to_owned()]];
+    wave.set_shared(&maintenance::shared_machines(waves.iter().map(Vec::as_slice)));
+    observe_maintenance(&mut wave, &mut machines, 1_000..3_000);
+    expect_false!(wave.is_complete());
+    wave.observe(3_100, &machines);
+    expect_that!(order_drained(&mut wave, 3_100, &machines), contains(eq(&Action::Start("m0".to_owned()))));
+    expect_false!(wave.is_complete());
+    wave.record_outcome(3_100, "m0", Outcome::Started);
+    expect_true!(wave.is_complete());
+}
+
+// Guards against a second drain of a machine whose order took effect without an answer.
+#[gtest]
+fn maintenance_of_a_machine_of_one_wave_tells_that_its_order_took_effect() {
+    let mut machines = machines(1);
+    let mut wave = wave_with_unanswered_order(&machines);
+    wave.set_shared(&maintenance::shared_machines([vec!["m0".to_owned()]].iter().map(Vec::as_slice)));
+    observe_maintenance(&mut wave, &mut machines, 1_000..3_000);
+    expect_true!(wave.is_complete());
+    expect_that!(order_drained(&mut wave, 4_000, &machines), is_empty());
+}
+
+// Guards against machines that are taken for shared as one wave names them twice.
+#[gtest]
+fn shared_machines_are_those_of_several_waves() {
+    let waves = [vec!["m0".to_owned(), "m0".to_owned(), "m1".to_owned()], vec!["m1".to_owned()]];
+    let shared = maintenance::shared_machines(waves.iter().map(Vec::as_slice));
+    expect_that!(shared, eq(&BTreeSet::from(["m1".to_owned()])));
+}
--- a/components/relay/src/coordinator.rs
+++ b/components/relay/src/coordinator.rs
@@ -108,6 +108,7 @@
             for (number, spec) in &desired.waves {
                 waves.start(*number, spec);
             }
+            waves.set_shared(&desired.waves);
             match self.machines.list().await {
                 Ok(machines) => {
                     if let Some(config) = desired.config {
@@ -426,6 +427,14 @@
         let wave = Wave::new(&spec.machines, at_once, started_at, spec.duration_s * 1_000, &stored.started);
         self.open.insert(number, wave);
     }
+
+    /// Tells the open waves which machines are in several of the operators' waves, complete ones among them.
+    fn set_shared(&mut self, specs: &BTreeMap<u64, WaveSpec>) {
+        let shared = maintenance::shared_machines(specs.values().map(|s| s.machines.as_slice()));
+        for wave in self.open.values_mut() {
+            wave.set_shared(&shared);
+        }
+    }
 }
 
 /// Machines without runs, in pools without waiting tasks.
--- a/components/relay/tests/daemons/main.rs
+++ b/components/relay/tests/daemons/main.rs
@@ -7,6 +7,7 @@
 mod restart;
 mod slow_link;
 mod slow_store;
+mod waves;
 mod worker_restarts;
 
 use std::collections::{BTreeMap, HashSet};
--- a/components/relay/tests/daemons/platform.rs
+++ b/components/relay/tests/daemons/platform.rs
@@ -9,7 +9,7 @@
 use edge::{Call, Fault};
 use parking_lot::Mutex;
 use relay::platform::{AppendReply, Assignment, AssignmentTopic, Changes, Document, KeyedRecords, Store};
-use relay::{Configuration, Customer, Pool, Queue, Role, monotonic_ms};
+use relay::{Configuration, Customer, Pool, Queue, Role, Wave, monotonic_ms};
 use shard::{Record, Resources, WorkerInfo};
 use tokio::time::Instant;
 pub use workers::Worker;
@@ -67,6 +67,16 @@
     pub spare_machines: Vec<String>,
     /// Ordered moves, as machine and pool.
     pub moves: Vec<(String, String)>,
+    /// Maintenance waves that operators have published.
+    pub waves: Vec<Wave>,
+    /// Orders for maintenance that get no answer and are not carried out.
+    pub lost_orders: u32,
+    /// Begun maintenance, as machine and wave.
+    pub maintenance: Vec<(String, u64)>,
+    /// Until when machines are down for maintenance.
+    pub down_until: HashMap<String, Instant>,
+    /// Machines without their maintenance when a wave was published as complete, by wave.
+    pub missing: BTreeMap<u64, Vec<String>>,
 }
 
 impl State {
@@ -238,25 +248,31 @@
 
     fn read_documents(&self, from: Option<u64>) -> Call<'_, Changes<Document>> {
         Box::pin(async move {
-            let (version, document) = {
+            let (version, document, waves) = {
                 let state = self.store()?;
                 let document = state.config.clone().unwrap_or_else(|| config(state.version));
-                (document.version, Document::Configuration(document))
+                (document.version, Document::Configuration(document), state.waves.clone())
             };
             if from == Some(version) {
                 tokio::time::sleep(Duration::from_millis(20)).await;
                 return Ok(Changes { next_offset: version, snapshot: false, entries: Vec::new() });
             }
-            Ok(Changes {
-                next_offset: version,
-                snapshot: true,
-                entries: vec![("config".into(), Some(document))],
-            })
+            let waves = waves.into_iter().map(|w| (format!("wave/{}", w.number), Some(Document::Wave(w))));
+            let entries = waves.chain([("config".into(), Some(document))]).collect();
+            Ok(Changes { next_offset: version, snapshot: true, entries })
         })
     }
 
-    fn publish_wave(&self, _wave: u64, _complete: bool) -> Call<'_, ()> {
-        Box::pin(async move { Ok(()) })
+    fn publish_wave(&self, wave: u64, complete: bool) -> Call<'_, ()> {
+        Box::pin(async move {
+            let mut state = self.store()?;
+            let spec = state.waves.iter().find(|w| w.number == wave).filter(|_| complete);
+            let machines = spec.map(|w| w.machines.clone());
+            let begun = |m: &String| state.maintenance.contains(&(m.clone(), wave));
+            let missing = machines.map(|all| all.into_iter().filter(|m| !begun(m)).collect());
+            state.missing.extend(missing.map(|m| (wave, m)));
+            Ok(())
+        })
     }
 
     fn read_workers(&self, _from: Option<u64>) -> Call<'_, Changes<WorkerInfo>> {
--- a/components/relay/tests/daemons/platform/workers.rs
+++ b/components/relay/tests/daemons/platform/workers.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use edge::Call;
+use edge::{Call, Fault};
 use maintenance::{Machine, MachineState};
 use relay::monotonic_ms;
 use relay::platform::{Machines, OrderReply, Poll, PollReply, Workers};
@@ -11,7 +11,12 @@
     Resources, RunEnd, RunOutcome, RunStatus, StartReply, StartRequest, TaskId, WorkerInfo, WorkerReport,
 };
 
-use super::{PlatformClient, SPARE_POOL, TASK_MS};
+use tokio::time::Instant;
+
+use super::{PlatformClient, SPARE_POOL, STORE_TIMEOUT, TASK_MS};
+
+/// Time that a machine is down for maintenance.
+const MAINTENANCE_TIME: Duration = Duration::from_secs(2);
 
 #[derive(Debug, Default)]
 pub struct Worker {
@@ -117,7 +122,8 @@
     fn list(&self) -> Call<'_, Vec<Machine>> {
         Box::pin(async move {
             let state = self.platform.state.lock();
-            Ok(state.spare_machines.iter().map(|name| spare_machine(name)).collect())
+            let is_down = |name: &str| state.down_until.get(name).is_some_and(|at| Instant::now() < *at);
+            Ok(state.spare_machines.iter().map(|name| spare_machine(name, is_down(name))).collect())
         })
     }
 
@@ -134,8 +140,37 @@
         })
     }
 
-    fn start_maintenance<'a>(&'a self, _: &'a str, _: u64, _: &'a str, _: u64) -> Call<'a, OrderReply> {
-        Box::pin(async move { Ok(OrderReply::NotReady) })
+    fn start_maintenance<'a>(
+        &'a self,
+        machine: &'a str,
+        wave: u64,
+        _: &'a str,
+        _: u64,
+    ) -> Call<'a, OrderReply> {
+        Box::pin(async move {
+            let lost = {
+                let mut state = self.platform.state.lock();
+                let lost = state.lost_orders > 0;
+                state.lost_orders -= u32::from(lost);
+                lost
+            };
+            if lost {
+                tokio::time::sleep(STORE_TIMEOUT).await;
+                return Err(Fault::may_have_run("no answer"));
+            }
+            let mut state = self.platform.state.lock();
+            let order = (machine.to_owned(), wave);
+            if state.maintenance.contains(&order) {
+                return Ok(OrderReply::Done);
+            }
+            let now = Instant::now();
+            if state.down_until.get(machine).is_some_and(|at| now < *at) {
+                return Ok(OrderReply::NotReady);
+            }
+            state.maintenance.push(order);
+            state.down_until.insert(machine.to_owned(), now + MAINTENANCE_TIME);
+            Ok(OrderReply::Done)
+        })
     }
 }
 
@@ -156,10 +191,10 @@
     }
 }
 
-fn spare_machine(name: &str) -> Machine {
+fn spare_machine(name: &str, down: bool) -> Machine {
     Machine {
         name: name.into(),
-        state: MachineState::Up,
+        state: if down { MachineState::Maintenance } else { MachineState::Up },
         pool: SPARE_POOL.into(),
         zone: "z1".into(),
         worker: String::new(),
